Read a counter call again when its connection was reset

A call to the counter that ended with its connection counted as a sign of a slow counter: the share of requests that ask was cut, and those that did not ask were refused wherever the fleet was at all busy.

Such a call is now read once more, as one with a spoilt answer already was: the growth of the total tells whether the amount was added. It no longer counts for or against the counter. One that dies for good still shows, as the second call finds no connection.

--- a/src/main/java/willowdoor/QuotaPolicy.java
+++ b/src/main/java/willowdoor/QuotaPolicy.java
@@ -306,15 +306,15 @@
     Account a = call.account;
     Job job = call.job;
     a.advance();
-    if (e.status() == Status.SPOILT && job.waiting && !job.reread) {
+    if (cutOff(e.status()) && job.waiting && !job.reread) {
       readAgain(e.name(), call);
       return;
     }
     a.flying -= job.asked;
-    if (!stalled() || e.status() == Status.OK) {
+    if (!stalled() && e.status() != Status.RESET || e.status() == Status.OK) {
       judgeCounter(e);
     }
-    boolean added = !e.status().provesNotRun();
+    boolean added = job.reread || !e.status().provesNotRun();
     if (e.status() == Status.OK) {
       observe(a, call, e.total());
     } else if (added) {
@@ -332,13 +332,21 @@
     decide(job, e.status() == Status.OK);
   }
 
+  /** The call's connection failed it: nothing is told of the counter, which may well have added the amount. */
+  private static boolean cutOff(Status status) {
+    return status == Status.SPOILT || status == Status.RESET;
+  }
+
   /**
-   * An answer that cannot be read tells that the amount was added, and nothing of a slow or absent counter:
-   * the total is read once more, as if the answer came late. Harm: one more call for each spoilt answer.
+   * Reads the total once more, as if the answer came late; its growth shows whether the amount was added.
+   * Guards against connections that die or bring junk, while the counter works and could be asked over
+   * another. Harm: one more call for each that was cut off.
    */
   private void readAgain(String name, Call call) {
     call.job.reread = true;
-    calls.computeIfAbsent(name, n -> new ArrayDeque<>()).add(call);
+    call.account.maybe += call.amount;
+    Call read = new Call(call.account, call.window, 0, call.job);
+    calls.computeIfAbsent(name, n -> new ArrayDeque<>()).add(read);
     out.add(new Add(name, 0, COUNT_TTL_MS));
   }
 
@@ -378,6 +386,10 @@
     if (!fresh && others < 0 && total < a.seen / 2) {
       others = Math.max(0, total - call.amount);
     }
+    double mine = Math.min(a.maybe, Math.max(0, others));
+    double missing = a.maybe - mine;
+    others -= mine;
+    a.maybe = 0;
     a.window = call.window;
     a.seen = total;
     if (a.plain) {
@@ -385,10 +397,7 @@
       learnRates(a, Math.max(0, others), since);
       return;
     }
-    double mine = Math.min(a.maybe, Math.max(0, others));
-    others -= mine;
-    a.owed += a.maybe - mine;
-    a.maybe = 0;
+    a.owed += missing;
     if (carried) {
       double replaced = a.assumed * Math.min(1, since / Math.max(1, now - a.syncedAt));
       a.level = Math.min(a.plan.burst(), a.level + replaced - others);
--- a/src/test/java/willowdoor/QuotaPolicyTest.java
+++ b/src/test/java/willowdoor/QuotaPolicyTest.java
@@ -98,6 +98,42 @@
     throw new AssertionError("no window edge met, sent " + sent);
   }
 
+  /** A connection that dies says nothing of the counter, which still answers over another. */
+  @Test
+  void aCallCutOffByItsConnectionIsReadAgain() {
+    Fixtures f = Fixtures.counted();
+    f.request("safe", "rated", 3);
+    f.callFails(Status.RESET);
+    assertEquals(0, f.only(Add.class).amount(), "it may have been added, so it is only read");
+    assertFalse(f.did(Send.class));
+    f.total(0);
+    assertTrue(f.did(Send.class));
+    f.request("safe", "rated", 1);
+    assertEquals(1 + 3, f.only(Add.class).amount(), "the total shows that the 3 were not added");
+  }
+
+  @Test
+  void whatACutOffCallHadAddedIsNotOwed() {
+    Fixtures f = Fixtures.counted();
+    f.request("safe", "rated", 3);
+    f.callFails(Status.RESET).total(3);
+    assertTrue(f.did(Send.class));
+    f.request("safe", "rated", 1);
+    assertEquals(1, f.only(Add.class).amount());
+  }
+
+  /** Calling less would not help against connections that die, and leaves customers to the replica. */
+  @Test
+  void cutOffCallsDoNotMakeRequestsGoUnasked() {
+    Fixtures f = Fixtures.counted();
+    for (int i = 0; i < 20; i++) {
+      f.pass(100).request("safe", "broad", 1);
+      assertTrue(f.did(Add.class), "request " + i + " asks");
+      f.callFails(Status.RESET).total(i);
+      f.outcome(f.only(Send.class), 0, Status.OK, true);
+    }
+  }
+
   @Test
   void plansWithoutRateNeedNoCall() {
     Fixtures f = Fixtures.counted();
