Start without flight-recorder events and without string code made at run time

A log of the classes loaded shows where a start's time goes: 0.2 s of a whole core to register Netty's buffer events with the flight recorder, which nobody records here, and some ninety classes made at run time for texts put together with +. Class loading from the archive was ruled out: 2361 of 2510 classes came from it.

--- /dev/null
+++ b/src/test/java/willowdoor/net/StartTest.java
@@ -0,0 +1,79 @@
+package willowdoor.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** What the program loads as it starts by the deploy file: CPU for a start is short, and all of it is waited for. */
+@Timeout(60)
+class StartTest {
+
+  private final Peers peers = new Peers();
+
+  @TempDir
+  Path folder;
+
+  @AfterEach
+  void close() throws Exception {
+    peers.close();
+  }
+
+  /** To register the buffers' events with the flight recorder took a fifth of a second of a whole core. */
+  @Test
+  void registersNoEventsOfAFlightRecorder() throws Exception {
+    List<String> loaded = classesLoaded();
+    assertTrue(loaded.stream().anyMatch(l -> l.contains("willowdoor.net.WarmUp ")), "the start was seen");
+    assertEquals(List.of(), loaded.stream().filter(l -> l.contains("io.netty.buffer.AllocateBufferEvent ")
+        || l.contains("jdk.jfr.internal.handlers.")).toList());
+  }
+
+  /** Each text put together with + would otherwise have code made for it when it is first met. */
+  @Test
+  void textsArePutTogetherWithoutCodeMadeAtRunTime() throws Exception {
+    try (InputStream code = WarmUp.class.getResourceAsStream("WarmUp.class")) {
+      String text = new String(code.readAllBytes(), StandardCharsets.ISO_8859_1);
+      assertTrue(text.contains("StringBuilder"), "it does put texts together");
+      assertFalse(text.contains("makeConcatWithConstants"));
+    }
+  }
+
+  /** Its address is taken, so that the program ends by itself where it would begin to listen. */
+  private List<String> classesLoaded() throws IOException, InterruptedException {
+    Path log = folder.resolve("classes.log");
+    Path config = folder.resolve("config.json");
+    try (ServerSocket taken = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+      Files.writeString(config, peers.config(Peers.entry("s-1", peers.backend.getLocalPort(), "active"))
+          .replace("127.0.0.1:0", "127.0.0.1:" + taken.getLocalPort()));
+      List<String> command = new ArrayList<>();
+      command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+      command.addAll(nettyOptions());
+      command.addAll(List.of("-Xlog:class+load:file=" + log, "-cp", System.getProperty("java.class.path"),
+          "willowdoor.Main", "serve"));
+      ProcessBuilder program = new ProcessBuilder(command).redirectErrorStream(true)
+          .redirectOutput(folder.resolve("output").toFile());
+      program.environment().put("GW_CONFIG", config.toString());
+      assertEquals(1, program.start().waitFor(), "it cannot listen");
+    }
+    return Files.readAllLines(log);
+  }
+
+  private static List<String> nettyOptions() throws IOException {
+    return Files.readAllLines(Path.of("deploy/balancer.toml")).stream().filter(l -> l.startsWith("run ="))
+        .flatMap(l -> Arrays.stream(l.split(" "))).filter(o -> o.startsWith("-Dio.netty.")).toList();
+  }
+}
