--- a/src/main/java/willowdoor/QuotaPolicy.java
+++ b/src/main/java/willowdoor/QuotaPolicy.java
@@ -465,7 +465,8 @@
       dispatch(job);
     } else {
       double missing = job.request.units() - job.account.level;
-      refuse(job, plan.rate() > 0 ? Math.max(TICK_MS, missing / plan.rate() * 1000) : 0);
+      // Where only open attempts are bounded, one of them ends after about a service time.
+      refuse(job, plan.rate() > 0 ? Math.max(TICK_MS, missing / plan.rate() * 1000) : fleetService);
     }
   }
 
--- a/src/test/java/willowdoor/QuotaPolicyTest.java
+++ b/src/test/java/willowdoor/QuotaPolicyTest.java
@@ -148,7 +148,7 @@
     f.request("safe", "narrow", 1);
     assertTrue(f.did(Send.class));
     f.request("safe", "narrow", 1);
-    assertTrue(f.did(Refuse.class));
+    assertTrue(f.only(Refuse.class).holdOffMs() > 0, "told to come back when one may have ended");
   }
 
   @Test
