--- a/src/main/java/willowdoor/GatewayState.java
+++ b/src/main/java/willowdoor/GatewayState.java
@@ -121,6 +121,8 @@
     double restUntil = Double.NEGATIVE_INFINITY;
     double fullUntil = Double.NEGATIVE_INFINITY;
     double answeredAt;
+    /** When the latest of the answered attempts was sent. */
+    double answeredSentAt = Double.NEGATIVE_INFINITY;
     /** Requests held as last reported, of them from here, and when. */
     double reported = Double.NaN;
     double reportedOwn;
--- a/src/main/java/willowdoor/QuotaPolicy.java
+++ b/src/main/java/willowdoor/QuotaPolicy.java
@@ -682,6 +682,7 @@
     if (e.status() == Status.OK || e.status() == Status.ERROR || e.status() == Status.REJECTED
         || e.status() == Status.SPOILT) {
       b.answeredAt = now;
+      b.answeredSentAt = Math.max(b.answeredSentAt, attempt.sentAt);
     }
     if (e.status() == Status.OK || bad) {
       b.failing *= forget;
@@ -968,12 +969,15 @@
   }
 
   /**
-   * Takes an attempt back from a backend that has answered nothing since it was sent, if a second fits.
-   * Guards against dead, cut off and stalled backends. Harm: one slow request looks the same; budgeted.
+   * Takes an attempt back from a backend that has answered nothing since it was sent, or already one that
+   * was sent later, if a second fits. Guards against dead, cut off and stalled backends, and against answers
+   * lost on their way from a backend that works. Harm: one slow request looks the same; budgeted.
    */
   private void abandonSilent(Job job) {
     Attempt a = job.live;
-    if (a.backend.answeredAt <= a.sentAt && now - a.sentAt > job.aim() * FIRST_TRY_OF_AIM
+    double patience = job.aim() * FIRST_TRY_OF_AIM;
+    boolean passedOver = a.backend.answeredSentAt > a.sentAt + patience;
+    if ((passedOver || a.backend.answeredAt <= a.sentAt) && now - a.sentAt > patience
         && !job.abandoned && !job.streaming && settings.allowed().cancel()
         && job.type.repeat() != Repeat.UNSAFE && retryTokens >= 1) {
       job.abandoned = true;
--- a/src/test/java/willowdoor/QuotaPolicyTest.java
+++ b/src/test/java/willowdoor/QuotaPolicyTest.java
@@ -134,6 +134,20 @@
     }
   }
 
+  /** The backend works, but this one answer will not come: one sent long after it has been answered. */
+  @Test
+  void takesBackWhatWasOvertakenAtAWorkingBackend() {
+    Fixtures f = new Fixtures(Fixtures.settings(true, 2, false)).backends(1);
+    String lost = f.request("safe", "free", 1);
+    f.run(500);
+    f.request("safe", "free", 1);
+    f.outcome(f.only(Send.class), 0, Status.OK, true).run(200);
+    assertFalse(f.did(Cancel.class), "sent too soon after it to tell");
+    f.request("safe", "free", 1);
+    f.outcome(f.only(Send.class), 0, Status.OK, true).run(25);
+    assertEquals(lost, f.only(Cancel.class).request());
+  }
+
   @Test
   void plansWithoutRateNeedNoCall() {
     Fixtures f = Fixtures.counted();
