--- a/src/main/java/willowdoor/net/Attempt.java
+++ b/src/main/java/willowdoor/net/Attempt.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.util.concurrent.Future;
 import willowdoor.GatewayApi.Status;
 
@@ -23,6 +24,11 @@
     this.timeoutMs = timeoutMs;
   }
 
+  /** True when the protocol has it that this request must never run twice: it is posted without a key. */
+  final boolean once() {
+    return message.method().equals(HttpMethod.POST) && !message.headers().contains(Headers.IDEMPOTENCY_KEY);
+  }
+
   final boolean ended() {
     return ended;
   }
--- a/src/main/java/willowdoor/net/BackendConnection.java
+++ b/src/main/java/willowdoor/net/BackendConnection.java
@@ -39,6 +39,8 @@
   private Channel channel;
   private Attempt current;
   double idleSince;
+  /** For how long it had been idle before it was used again. */
+  double idleMs;
   /** It has carried an answer before. */
   private boolean kept;
   /** The answer being read, its body so far, and whether its end has come. */
@@ -161,6 +163,9 @@
     } else {
       channel.close();
     }
+    if (kept) {
+      pool.trust.lived(idleMs);
+    }
     // An answer ahead of the request's end is none to this request.
     Status status = inStep ? status(answer) : Status.BROKEN;
     kept = true;
@@ -214,6 +219,9 @@
     forget();
     pool.closed(this);
     if (attempt != null) {
+      if (stale) {
+        pool.trust.died(idleMs);
+      }
       attempt.end(attempt.broken(stale), null);
     }
   }
--- a/src/main/java/willowdoor/net/BackendPool.java
+++ b/src/main/java/willowdoor/net/BackendPool.java
@@ -47,6 +47,7 @@
   private final double idleLimitMs;
   private final Places places;
   private final Map<Long, Backend> backends = new HashMap<>();
+  final IdleTrust trust = new IdleTrust();
 
   BackendPool(EventLoop loop, Clock clock, Dialer dialer, double idleLimitMs, Places places) {
     this.loop = loop;
@@ -102,7 +103,7 @@
     }
     long timeout = Math.max(0, (long) (attempt.timeoutMs * 1000));
     attempt.timer = loop.schedule(() -> attempt.abandon(attempt.overdue()), timeout, TimeUnit.MICROSECONDS);
-    BackendConnection c = idle(b);
+    BackendConnection c = idle(b, attempt);
     if (c != null) {
       c.carry(attempt, request(b, attempt));
     } else if (!places.roomForBackend() && !dropIdle()) {
@@ -112,14 +113,21 @@
     }
   }
 
-  /** The connection used last, if it has settled, and not so long ago that the backend may be closing it. */
-  private BackendConnection idle(Backend b) {
+  /**
+   * The connection used last, if it has settled, and not so long ago that the backend may be closing it, or
+   * that it may be dead under an attempt that could not be made good.
+   */
+  private BackendConnection idle(Backend b, Attempt attempt) {
     double now = clock.now();
     BackendConnection found = null;
     for (Iterator<BackendConnection> i = b.idle.descendingIterator(); found == null && i.hasNext();) {
       BackendConnection c = i.next();
       if (c.idleSince < now - SETTLE_MS) {
+        if (attempt.once() && !trust.trusts(now - c.idleSince)) {
+          return null;
+        }
         i.remove();
+        c.idleMs = now - c.idleSince;
         if (c.usable() && c.idleSince >= now - idleLimitMs) {
           found = c;
         } else {
--- a/src/test/java/willowdoor/net/BackendPoolTest.java
+++ b/src/test/java/willowdoor/net/BackendPoolTest.java
@@ -1,6 +1,8 @@
 package willowdoor.net;
 
+import static java.nio.charset.StandardCharsets.US_ASCII;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.EventLoop;
@@ -49,7 +51,11 @@
   }
 
   private Attempt attempt(double timeoutMs) {
-    return new Attempt(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/quote/1",
+    return attempt(HttpMethod.GET, timeoutMs);
+  }
+
+  private Attempt attempt(HttpMethod method, double timeoutMs) {
+    return new Attempt(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, "/quote/1",
         Unpooled.EMPTY_BUFFER), timeoutMs) {
       @Override
       void onEnd(Status status, FullHttpResponse answer) {
@@ -98,6 +104,48 @@
     assertEquals(Status.NOT_SENT, Peers.next(ends));
   }
 
+  /** A kept connection that turns out dead costs a request that can be repeated nothing, and others all. */
+  @Test
+  void whatMustNotRunTwiceGoesOnANewConnectionWhereKeptOnesDied() throws Exception {
+    try (ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+      server.setSoTimeout(10_000);
+      BackendPool pool = loop.submit(() -> pool(100, server.getLocalPort())).sync().getNow();
+      loop.submit(() -> pool.start(1, attempt(5_000)));
+      Socket first = server.accept();
+      answer(first);
+      long quiet = System.nanoTime();
+      TimeUnit.MILLISECONDS.sleep(50);
+      loop.submit(() -> pool.start(1, attempt(5_000)));
+      read(first);
+      first.setSoLinger(true, 0);
+      first.close();
+      assertEquals(Status.SPOILT, Peers.next(ends));
+      quiet = System.nanoTime() - quiet;
+      loop.submit(() -> pool.start(1, attempt(5_000)));
+      Socket second = server.accept();
+      answer(second);
+      TimeUnit.NANOSECONDS.sleep(quiet);
+      loop.submit(() -> pool.start(1, attempt(HttpMethod.POST, 5_000)));
+      answer(server.accept());
+    }
+  }
+
+  private void answer(Socket backend) throws Exception {
+    read(backend);
+    backend.getOutputStream().write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".getBytes(US_ASCII));
+    assertEquals(Status.OK, Peers.next(ends));
+  }
+
+  private static void read(Socket backend) throws IOException {
+    backend.setSoTimeout(10_000);
+    StringBuilder head = new StringBuilder();
+    while (head.indexOf("\r\n\r\n") < 0) {
+      int next = backend.getInputStream().read();
+      assertTrue(next >= 0, "the connection is in use");
+      head.append((char) next);
+    }
+  }
+
   private static int freePort() throws IOException {
     try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
       return server.getLocalPort();
