Add the operators' door, one lifecycle, and a listener that an upgrade can share

OperatorsDoor answers /ready, /drain and /undrain on a loop of its own; Lifecycle is what they, /up and SIGTERM read and move. The listener has SO_REUSEPORT. At its end a process accepts what waits in its queue before it closes the listener: without that a test lost connections that had come during the loop's last look at the sockets. Netty offers no such step, so the waiting are accepted by its socket class.

--- a/src/main/java/willowdoor/net/BackendPool.java
+++ b/src/main/java/willowdoor/net/BackendPool.java
@@ -47,6 +47,8 @@
   private final double idleLimitMs;
   private final Places places;
   private final Map<Long, Backend> backends = new HashMap<>();
+  /** Read by the operators' door too. */
+  private volatile boolean knowsAny;
   final IdleTrust trust = new IdleTrust();
 
   BackendPool(EventLoop loop, Clock clock, Dialer dialer, double idleLimitMs, Places places) {
@@ -78,6 +80,7 @@
     if (news.full()) {
       List.copyOf(backends.keySet()).stream().filter(id -> !named.contains(id)).forEach(this::remove);
     }
+    knowsAny = !backends.isEmpty();
   }
 
   /** Guards the rule on drains: an attempt that still waits for its connection is not written any more. */
@@ -91,7 +94,7 @@
   }
 
   boolean knowsAny() {
-    return !backends.isEmpty();
+    return knowsAny;
   }
 
   /** Starts an attempt on an idle connection, or on a new one. */
--- a/src/main/java/willowdoor/net/Bounds.java
+++ b/src/main/java/willowdoor/net/Bounds.java
@@ -18,7 +18,7 @@
   private static final double BODY_PART = 1.0 / 16;
 
   static Bounds of(double sockets, double memoryMb, double cores) {
-    return new Bounds(Math.max(16, (int) sockets - OWN - PEERS - MARGIN),
+    return new Bounds(Math.max(16, (int) sockets - OWN - PEERS - OperatorsDoor.DESCRIPTORS - MARGIN),
         (int) (memoryMb * BODY_PART * (1 << 20)), cores);
   }
 }
--- a/src/main/java/willowdoor/net/ClientConnection.java
+++ b/src/main/java/willowdoor/net/ClientConnection.java
@@ -127,7 +127,10 @@
     return now - (asked ? receivingSince : quietSince) > EVICT_SILENT_MS;
   }
 
-  /** Guards against clients that never finish a request, say nothing, or never come back. */
+  /**
+   * Guards against clients that never finish a request, say nothing, or never come back; and while draining
+   * ends what no request is on. One that has just connected may still ask.
+   */
   void endIfOverdue(double now) {
     if (current != null || ending) {
       return;
@@ -136,7 +139,8 @@
       if (now - (asked ? receivingSince : quietSince) > REQUEST_MS) {
         endWith(HttpResponseStatus.REQUEST_TIMEOUT, "request is not whole in time");
       }
-    } else if (now - quietSince > (asked ? IDLE_MS : REQUEST_MS)) {
+    } else if (asked && server.drained()
+        || now - quietSince > (asked ? IDLE_MS : REQUEST_MS)) {
       closeIfIdle();
     }
   }
--- a/src/main/java/willowdoor/net/ClientServer.java
+++ b/src/main/java/willowdoor/net/ClientServer.java
@@ -33,6 +33,8 @@
   private static final int MOST_BODY = 64 * 1024;
   /** How often connections are looked at for overdue requests. */
   private static final long SWEEP_MS = 200;
+  /** So long after it is told to drain, the front has heard the no, and sends no new connections. */
+  static final double NOTICED_MS = 550;
 
   private final Clock clock;
   private final ModuleDriver driver;
@@ -44,17 +46,17 @@
   private final Set<ClientConnection> connections = new LinkedHashSet<>();
   private int receiving;
   private Channel listening;
-  private boolean ready;
-  private boolean draining;
+  private final Lifecycle lifecycle;
 
   ClientServer(EventLoop loop, Clock clock, ModuleDriver driver, BackendPool backends, RequestReader reader,
-      Bounds bounds, Places places) {
+      Bounds bounds, Places places, Lifecycle lifecycle) {
     this.clock = clock;
     this.driver = driver;
     this.backends = backends;
     this.reader = reader;
     this.bounds = bounds;
     this.places = places;
+    this.lifecycle = lifecycle;
     loop.scheduleWithFixedDelay(this::endOverdue, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
   }
 
@@ -62,6 +64,7 @@
     ChannelFuture bound = new ServerBootstrap().group(group).channel(Transport.BEST.serverSocket())
         .option(ChannelOption.SO_BACKLOG, 512)
         .option(ChannelOption.SO_REUSEADDR, true)
+        .option(Transport.BEST.reusePort(), true)
         .childOption(ChannelOption.TCP_NODELAY, true)
         .childHandler(new ChannelInitializer<Channel>() {
           @Override
@@ -117,10 +120,6 @@
     }
   }
 
-  void serve() {
-    ready = true;
-  }
-
   ModuleDriver driver() {
     return driver;
   }
@@ -133,12 +132,18 @@
     return request;
   }
 
+  /** Whether it takes clients' requests; asked by the operators' door too, from its own thread. */
   boolean ready() {
-    return ready && !draining && backends.knowsAny();
+    return lifecycle.serving() && backends.knowsAny();
   }
 
   boolean draining() {
-    return draining;
+    return lifecycle.drainingMs() > 0;
+  }
+
+  /** True when no request is expected any more on a connection that has none. */
+  boolean drained() {
+    return lifecycle.drainingMs() > NOTICED_MS;
   }
 
   double now() {
@@ -199,15 +204,10 @@
     List.copyOf(connections).forEach(c -> c.endIfOverdue(now));
   }
 
-  /** From here on every answer ends its connection; new connections are still taken. */
-  void beginDrain() {
-    draining = true;
-  }
-
-  /** Takes no more connections, and ends those that no request is on. */
+  /** Takes what waits to be taken, and no more connections. */
   void stopAccepting() {
+    Transport.acceptWaiting(listening);
     listening.close();
-    List.copyOf(connections).forEach(ClientConnection::closeIfIdle);
   }
 
   boolean idle() {
--- a/src/main/java/willowdoor/net/Config.java
+++ b/src/main/java/willowdoor/net/Config.java
@@ -14,8 +14,9 @@
 import willowdoor.WireSettings;
 
 /** What a front door is told at its start: the file that {@code GW_CONFIG} names. */
-record Config(InetSocketAddress listen, InetSocketAddress discovery, InetSocketAddress counter, long seed,
-    Settings settings, Bounds limits, double connectLimitMs, double idleLimitMs, RosterNews known) {
+record Config(InetSocketAddress listen, InetSocketAddress mgmt, InetSocketAddress discovery,
+    InetSocketAddress counter, long seed, Settings settings, Bounds limits, double connectLimitMs,
+    double idleLimitMs, RosterNews known) {
 
   /** The addresses that a new configuration may move. */
   record Peers(InetSocketAddress discovery, InetSocketAddress counter) { }
@@ -32,6 +33,12 @@
         fields.get("counter") == null ? null : address(fields, "counter"));
   }
 
+  /** The environment is each process's own, while two may share the file: what it names goes first. */
+  Config withMgmt(String address) throws IOException {
+    return address == null ? this : new Config(listen, address(Map.of("mgmt", address), "mgmt"), discovery,
+        counter, seed, settings, limits, connectLimitMs, idleLimitMs, known);
+  }
+
   private static Map<String, Object> fields(Path file) throws IOException {
     try (JsonParser in = new JsonFactory().createParser(Files.readAllBytes(file))) {
       in.nextToken();
@@ -54,7 +61,9 @@
         JsonFields.number(limits, "cores", Bounds.USUAL_CORES));
     InetSocketAddress counter = fields.get("counter") == null && !parsed.allowed().sharedCount() ? null
         : address(fields, "counter");
-    return new Config(address(fields, "listen"), address(fields, "discovery"), counter, seed(fields), parsed,
+    InetSocketAddress listen = address(fields, "listen");
+    InetSocketAddress mgmt = fields.get("mgmt") == null ? null : address(fields, "mgmt");
+    return new Config(listen, mgmt, address(fields, "discovery"), counter, seed(fields), parsed,
         held, JsonFields.number(bounds, "DialTimeoutMs", 250),
         JsonFields.number(bounds, "ConnIdleMs", 15_000), RosterNews.of(JsonFields.child(fields, "known")));
   }
--- a/src/main/java/willowdoor/net/FrontDoor.java
+++ b/src/main/java/willowdoor/net/FrontDoor.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Logger;
+import willowdoor.GatewayApi.RequestClass;
 import willowdoor.QuotaPolicy;
 
 /** One real front door: its wiring, its start and its planned end. */
@@ -17,9 +18,11 @@
 
   private static final Logger LOG = Logger.getLogger(FrontDoor.class.getName());
   /** After SIGTERM new connections go on coming for up to 0.4 s. */
-  private static final long ACCEPT_MS = 550;
-  /** SIGKILL comes no sooner than 3.7 s after SIGTERM where deadlines are long: all is answered by then. */
-  private static final long ANSWER_MS = 3_300;
+  private static final long ACCEPT_MS = (long) ClientServer.NOTICED_MS;
+  /** SIGKILL comes no sooner than the longest deadline and 0.7 s after SIGTERM: all is answered by then. */
+  private static final long ANSWER_MS = 300;
+  /** A longer deadline counts as this there. */
+  private static final double MOST_DEADLINE_MS = 3_000;
   private static final long POLL_MS = 10;
 
   private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, Transport.BEST.ioHandler());
@@ -27,12 +30,18 @@
   private final Clock clock = new Clock();
   private final CountDownLatch drained = new CountDownLatch(1);
   private ModuleDriver driver;
-  private ClientServer clients;
+  /** Read by the operators' door too, which opens before it is there. */
+  private volatile ClientServer clients;
   private CounterClient counter;
   private DiscoveryClient discovery;
+  private final Lifecycle lifecycle = new Lifecycle(clock);
+  private final Handover handover;
+  private OperatorsDoor operators;
   private Channel listening;
+  private long answerMs;
 
-  private FrontDoor() {
+  private FrontDoor(Path shared) {
+    handover = new Handover(shared);
   }
 
   /** Reads the configuration that the environment names, and serves until the process is told to end. */
@@ -42,46 +51,75 @@
       throw new IOException("GW_CONFIG is not set");
     }
     Path path = Path.of(file);
-    Config config = Config.read(path);
-    FrontDoor door = start(config, wired -> {
+    Config config = Config.read(path).withMgmt(System.getenv("GW_MGMT"));
+    FrontDoor door = start(config, Path.of(System.getProperty("java.io.tmpdir")), wired -> {
       ReloadSignal.handle(() -> wired.reload(path));
       WarmUp warmUp = new WarmUp(config);
       warmUp.run(warmUp.limitMs());
     });
-    Runtime.getRuntime().addShutdownHook(new Thread(door::drain, "drain"));
+    Runtime.getRuntime().addShutdownHook(new Thread(door::end, "end"));
   }
 
   private interface Preparation {
     void of(FrontDoor wired) throws IOException;
   }
 
-  static FrontDoor start(Config config) throws IOException, InterruptedException {
-    return start(config, wired -> { });
+  /** Its processes share the folder. */
+  static FrontDoor start(Config config, Path shared) throws IOException, InterruptedException {
+    return start(config, shared, wired -> { });
   }
 
   /** Starts it; what is to be ready before the first client is done between its wiring and its listening. */
-  private static FrontDoor start(Config config, Preparation beforeListening)
+  private static FrontDoor start(Config config, Path shared, Preparation beforeListening)
       throws IOException, InterruptedException {
-    FrontDoor door = new FrontDoor();
+    FrontDoor door = new FrontDoor(shared);
+    door.answerMs = ANSWER_MS + (long) Math.min(MOST_DEADLINE_MS,
+        config.settings().classes().stream().mapToDouble(RequestClass::deadlineMs).max().orElse(0));
     try {
+      door.openForOperators(config);
       door.loop.submit(() -> door.wire(config)).sync();
       beforeListening.of(door);
       door.listening = door.clients.listen(door.group, config.listen()).sync().channel();
     } catch (RuntimeException e) {
-      door.group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+      door.stop();
       throw e;
     } catch (Exception e) {
-      door.group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+      door.stop();
       throw new IOException("cannot listen on " + config.listen() + ": " + e.getMessage(), e);
     }
-    door.loop.execute(door.clients::serve);
+    door.handover.serving();
+    door.lifecycle.started();
     return door;
   }
 
+  /** Without its operators' door a front door serves all the same. */
+  private void openForOperators(Config config) {
+    if (config.mgmt() != null) {
+      try {
+        operators = new OperatorsDoor(config.mgmt(), lifecycle, this::ready);
+      } catch (IOException e) {
+        LOG.severe(e.getMessage());
+      }
+    }
+  }
+
+  private boolean ready() {
+    ClientServer wired = clients;
+    return wired != null && wired.ready();
+  }
+
   SocketAddress address() {
     return listening.localAddress();
   }
 
+  Lifecycle lifecycle() {
+    return lifecycle;
+  }
+
+  SocketAddress operatorsAddress() {
+    return operators.address();
+  }
+
   private void wire(Config config) {
     Places places = new Places(config.limits().places());
     BackendPool backends = new BackendPool(loop, clock, Dialer.sockets(loop, config.connectLimitMs()),
@@ -89,7 +127,7 @@
     QuotaPolicy policy = new QuotaPolicy(config.settings(), config.seed());
     driver = new ModuleDriver(loop, clock, policy, backends);
     clients = new ClientServer(loop, clock, driver, backends, new RequestReader(config.settings()),
-        config.limits(), places);
+        config.limits(), places, lifecycle);
     counter = new CounterClient(loop, clock, Dialer.sockets(loop, CounterClient.CONNECT_LIMIT_MS),
         config.counter(), config.settings().allowed().countLimitMs(), driver::onCounted);
     counter.start();
@@ -115,17 +153,22 @@
     });
   }
 
-  /** The planned end: accept a little longer, answer all that was taken, then let the process go. */
-  void drain() {
-    loop.execute(clients::beginDrain);
-    loop.schedule(clients::stopAccepting, ACCEPT_MS, TimeUnit.MILLISECONDS);
+  /**
+   * The planned end: accept a little longer, answer all that was taken, then let the process go. Where
+   * another process serves at the same address, it gets all new connections at once, and so is the one that
+   * the front asks.
+   */
+  void end() {
+    lifecycle.end();
+    long acceptMs = handover.otherServes() ? 0 : ACCEPT_MS;
+    loop.schedule(clients::stopAccepting, acceptMs, TimeUnit.MILLISECONDS);
     loop.scheduleWithFixedDelay(() -> {
       if (clients.idle()) {
         drained.countDown();
       }
     }, ACCEPT_MS + POLL_MS, POLL_MS, TimeUnit.MILLISECONDS);
     try {
-      if (!drained.await(ANSWER_MS, TimeUnit.MILLISECONDS)) {
+      if (!drained.await(answerMs, TimeUnit.MILLISECONDS)) {
         loop.submit(driver::failAll).sync();
         drained.await(ACCEPT_MS / 2, TimeUnit.MILLISECONDS);
       }
@@ -137,5 +180,8 @@
 
   void stop() {
     group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+    if (operators != null) {
+      operators.close();
+    }
   }
 }
--- a/src/main/java/willowdoor/net/Transport.java
+++ b/src/main/java/willowdoor/net/Transport.java
@@ -2,27 +2,40 @@
 
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelException;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.epoll.Epoll;
+import io.netty.channel.epoll.EpollChannelOption;
 import io.netty.channel.epoll.EpollIoHandler;
 import io.netty.channel.epoll.EpollServerSocketChannel;
 import io.netty.channel.epoll.EpollSocketChannel;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.ServerSocketChannel;
 import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.channel.unix.Socket;
+import java.io.IOException;
+import java.net.StandardSocketOptions;
+import java.util.logging.Logger;
 
 /**
  * The sockets that the event loop drives: native epoll, which took a quarter less CPU on a calm day, or NIO
  * where its library cannot be loaded.
  */
 record Transport(IoHandlerFactory ioHandler, Class<? extends SocketChannel> socket,
-    Class<? extends ServerSocketChannel> serverSocket) {
+    Class<? extends ServerSocketChannel> serverSocket, ChannelOption<Boolean> reusePort) {
 
   static final Transport BEST = Epoll.isAvailable()
-      ? new Transport(EpollIoHandler.newFactory(), EpollSocketChannel.class, EpollServerSocketChannel.class)
-      : new Transport(NioIoHandler.newFactory(), NioSocketChannel.class, NioServerSocketChannel.class);
+      ? new Transport(EpollIoHandler.newFactory(), EpollSocketChannel.class, EpollServerSocketChannel.class,
+          EpollChannelOption.SO_REUSEPORT)
+      : new Transport(NioIoHandler.newFactory(), NioSocketChannel.class, NioServerSocketChannel.class,
+          NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT));
+
+  private static final Logger LOG = Logger.getLogger(Transport.class.getName());
+  /** Bytes of the longest address, as Netty encodes it, and of its length. */
+  private static final int MOST_ADDRESS = 26;
 
   /**
    * For how long the newest bytes of a connection had been with the kernel, in milliseconds; 0 where it does
@@ -35,4 +48,23 @@
       return 0;
     }
   }
+
+  /**
+   * Has all connections accepted that wait by now. Guards against the reset of those that a listening socket
+   * leaves behind when it closes. Harm: none; what comes between the last of them and the close is lost all
+   * the same.
+   */
+  static void acceptWaiting(Channel listening) {
+    if (listening instanceof EpollServerSocketChannel server) {
+      Socket socket = new Socket(server.fd().intValue());
+      byte[] address = new byte[MOST_ADDRESS];
+      try {
+        for (int fd = socket.accept(address); fd >= 0; fd = socket.accept(address)) {
+          server.pipeline().fireChannelRead(new EpollSocketChannel(fd));
+        }
+      } catch (IOException e) {
+        LOG.warning("cannot accept what waits: " + e.getMessage());
+      }
+    }
+  }
 }
--- a/src/main/java/willowdoor/net/WarmUp.java
+++ b/src/main/java/willowdoor/net/WarmUp.java
@@ -78,7 +78,7 @@
         config.idleLimitMs(), places);
     ModuleDriver driver = new ModuleDriver(loop, clock, new QuotaPolicy(config.settings(), 1), pool);
     ClientServer clients = new ClientServer(loop, clock, driver, pool, new RequestReader(config.settings()),
-        config.limits(), places);
+        config.limits(), places, new Lifecycle(clock));
     CounterClient counter = new CounterClient(loop, clock, (address, handler) -> open(counters, handler),
         config.discovery(), config.settings().allowed().countLimitMs(), driver::onCounted);
     counter.start();
--- a/src/test/java/willowdoor/net/FrontDoorTest.java
+++ b/src/test/java/willowdoor/net/FrontDoorTest.java
@@ -259,7 +259,7 @@
     Client busy = peers.client();
     busy.send(Peers.get("r1", 3000));
     Peers.next(peers.atBackend);
-    Thread end = new Thread(door::drain);
+    Thread end = new Thread(door::end);
     end.start();
     assertTrue(idle.ended());
     told.countDown();
--- /dev/null
+++ b/src/test/java/willowdoor/net/HandoverTest.java
@@ -0,0 +1,80 @@
+package willowdoor.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import willowdoor.net.Peers.Client;
+
+/** A second process beside the old one, which then ends. */
+@Timeout(30)
+class HandoverTest {
+
+  private static final String UP = "GET /up HTTP/1.1\r\nHost: x\r\n\r\n";
+
+  private final Peers peers = new Peers();
+
+  @TempDir
+  Path folder;
+
+  @AfterEach
+  void close() throws Exception {
+    peers.close();
+  }
+
+  /** All that connected before the old one's end is answered, and nobody is told that the door is down. */
+  @Test
+  void theOldOneEndsWithoutTurningAnybodyAway() throws Exception {
+    FrontDoor old = peers.start();
+    peers.startBeside();
+    assertEquals(200, peers.operator("GET /ready"));
+    List<Client> before = new ArrayList<>();
+    for (int i = 0; i < 20; i++) {
+      before.add(peers.client());
+    }
+    Thread end = new Thread(old::end);
+    end.start();
+    for (int i = 0; i < 20; i++) {
+      assertEquals(200, before.get(i).ask(Peers.get("r" + i, 3000)).status());
+    }
+    end.join(10_000);
+    assertFalse(end.isAlive());
+    for (int i = 0; i < 20; i++) {
+      assertEquals(200, peers.client().ask(UP).status());
+      assertEquals(200, peers.client().ask(Peers.get("s" + i, 3000)).status());
+    }
+  }
+
+  /** With nobody beside it, the one address goes on taking connections until the front has noticed. */
+  @Test
+  void aLastOneGoesOnAccepting() throws Exception {
+    FrontDoor door = peers.start();
+    Thread end = new Thread(door::end);
+    end.start();
+    while (door.lifecycle().serving()) {
+      Thread.onSpinWait();
+    }
+    assertEquals(503, peers.client().ask(UP).status());
+    end.join(10_000);
+  }
+
+  @Test
+  void whatOthersLeftBehindIsNoProcess() throws Exception {
+    Files.writeString(folder.resolve("serving-0"), "junk of one that was kil");
+    Handover first = new Handover(folder);
+    first.serving();
+    assertFalse(first.otherServes());
+    Handover second = new Handover(folder);
+    second.serving();
+    assertTrue(first.otherServes());
+    assertTrue(second.otherServes());
+  }
+}
--- /dev/null
+++ b/src/test/java/willowdoor/net/OperatorsDoorTest.java
@@ -0,0 +1,121 @@
+package willowdoor.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import willowdoor.net.Peers.Client;
+
+/** What operators are told, whatever clients and other callers do; and what their calls change. */
+@Timeout(30)
+class OperatorsDoorTest {
+
+  private static final String UP = "GET /up HTTP/1.1\r\nHost: x\r\n\r\n";
+
+  private final Peers peers = new Peers();
+
+  @AfterEach
+  void close() throws Exception {
+    peers.close();
+  }
+
+  @Test
+  void drainsAndTakesBackWithoutARestart() throws Exception {
+    peers.start();
+    assertEquals(200, peers.operator("GET /ready"));
+    Client kept = peers.client();
+    assertEquals(200, kept.ask(Peers.get("r1", 3000)).status());
+    assertEquals(200, peers.operator("POST /drain"));
+    assertEquals(503, peers.client().ask(UP).status());
+    assertEquals(503, peers.operator("GET /ready"));
+    assertTrue(kept.ended(), "a connection with no request on it is not kept");
+    assertEquals("close", peers.client().ask(Peers.get("late", 3000)).header("Connection"));
+    assertEquals(200, peers.operator("POST /drain"), "a second call asks for nothing more");
+    assertEquals(200, peers.operator("POST /undrain"));
+    Client back = peers.client();
+    assertEquals(200, back.ask(UP).status());
+    assertEquals(200, back.ask(Peers.get("r2", 3000)).status());
+    assertEquals(200, back.ask(Peers.get("r3", 3000)).status());
+  }
+
+  /** A drain ends with the answer that a request waits for, not before. */
+  @Test
+  void whatWasTakenIsAnsweredWhileDraining() throws Exception {
+    peers.start();
+    CountDownLatch drained = new CountDownLatch(1);
+    peers.answer = (request, out) -> {
+      try {
+        drained.await();
+      } catch (InterruptedException e) {
+        return false;
+      }
+      return Peers.write(out, Peers.OK);
+    };
+    Client busy = peers.client();
+    busy.send(Peers.get("r1", 4000));
+    Peers.next(peers.atBackend);
+    Client idle = peers.client();
+    idle.ask(UP);
+    assertEquals(200, peers.operator("POST /drain"));
+    assertTrue(idle.ended());
+    drained.countDown();
+    assertEquals(200, busy.receive().status());
+    assertTrue(busy.ended());
+  }
+
+  @Test
+  void answersWhileTheClientsLoopStandsStill() throws Exception {
+    FrontDoor door = peers.start();
+    CountDownLatch go = new CountDownLatch(1);
+    door.loop.execute(() -> {
+      try {
+        go.await();
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    });
+    assertEquals(200, peers.operator("GET /ready"));
+    assertEquals(200, peers.operator("POST /drain"));
+    go.countDown();
+    assertEquals(503, peers.client().ask(UP).status());
+  }
+
+  @Test
+  void callersThatNeverCallKeepNobodyOutAndAreEnded() throws Exception {
+    peers.start();
+    List<Client> silent = new ArrayList<>();
+    for (int i = 0; i < 50; i++) {
+      Client caller = peers.operator();
+      caller.send("POST /dra");
+      silent.add(caller);
+    }
+    assertEquals(200, peers.operator("GET /ready"));
+    for (Client caller : silent) {
+      assertTrue(caller.ended());
+    }
+    assertEquals(200, peers.client().ask(UP).status(), "half a call moves nothing");
+  }
+
+  @Test
+  void refusesWhatIsNoCall() throws Exception {
+    peers.start();
+    assertEquals(404, peers.operator("GET /up"));
+    assertEquals(405, peers.operator("GET /drain"));
+    assertEquals(405, peers.operator("POST /ready"));
+    assertEquals(200, peers.operator("POST /undrain"), "it serves already");
+    assertEquals(200, peers.client().ask(UP).status());
+  }
+
+  /** Clients cannot drain the door: the calls are none of the clients' address. */
+  @Test
+  void clientsCannotCall() throws Exception {
+    peers.start();
+    peers.client().ask("POST /drain HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n");
+    assertEquals(200, peers.operator("GET /ready"));
+  }
+}
--- a/src/test/java/willowdoor/net/Peers.java
+++ b/src/test/java/willowdoor/net/Peers.java
@@ -13,8 +13,11 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketAddress;
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
@@ -78,6 +81,17 @@
   final ServerSocket counter = listen(50, this::serveCounter);
   final ServerSocket discovery = listen(50, this::serveDiscovery);
   private FrontDoor door;
+  private final Path folder = temporary();
+
+  private static Path temporary() {
+    try {
+      Path folder = Files.createTempDirectory("peers");
+      folder.toFile().deleteOnExit();
+      return folder;
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+  }
 
   static boolean write(OutputStream out, String text) throws IOException {
     out.write(text.getBytes(StandardCharsets.ISO_8859_1));
@@ -176,7 +190,8 @@
   /** The configuration, with the given backends in its list. */
   String config(String... entries) {
     return """
-        {"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:%d","counter":"127.0.0.1:%d",
+        {"name":"n0","listen":"127.0.0.1:0","mgmt":"127.0.0.1:0",
+         "discovery":"127.0.0.1:%d","counter":"127.0.0.1:%d",
          "seed":"8c1f30d27a5be964","known":%s,
          "settings":{"Balancers":2,"SelfIndex":0,"MyZone":"a","Discovery":"push",
           "Bounds":{"MaxAttempts":6,"Cancel":true,"MaxOpen":1000,"DialTimeoutMs":250,"ConnIdleMs":30000},
@@ -203,10 +218,38 @@
   }
 
   FrontDoor start(String config) throws Exception {
-    door = FrontDoor.start(parse(config));
+    FrontDoor before = door;
+    door = FrontDoor.start(parse(config), folder);
+    if (before != null) {
+      open.add(before::stop);
+    }
     return door;
   }
 
+  /** Starts a second process's front door beside the first, at the same address. */
+  FrontDoor startBeside() throws Exception {
+    return start(config(entry("s-1", backend.getLocalPort(), "active"))
+        .replace("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"127.0.0.1:" + port(door.address()) + "\""));
+  }
+
+  private static int port(SocketAddress address) {
+    return ((InetSocketAddress) address).getPort();
+  }
+
+  /** An operator's one call: the status of its answer. */
+  int operator(String call) throws IOException {
+    try (Client operator = new Client((InetSocketAddress) door.operatorsAddress())) {
+      return operator.ask(call + " HTTP/1.1\r\nHost: x\r\n\r\n").status();
+    }
+  }
+
+  /** An operator that has connected. */
+  Client operator() throws IOException {
+    Client client = new Client((InetSocketAddress) door.operatorsAddress());
+    open.add(client);
+    return client;
+  }
+
   static Config parse(String json) throws IOException {
     try (JsonParser in = new JsonFactory().createParser(json)) {
       in.nextToken();
