Reload the settings whole on SIGHUP, as an event to the module

FrontDoor.reload now builds and checks a whole Config on the signal's thread; one task swaps addresses, the reader of requests and, by the event Reconfigured, the module's settings. A request brings the object of its class, which open ones keep. For 3 s what does not read under the new settings is read under those before.

The tests change an effect, a class and the number of attempts under open requests, and offer sixteen broken files.

--- a/src/main/java/willowdoor/BenchLink.java
+++ b/src/main/java/willowdoor/BenchLink.java
@@ -31,9 +31,11 @@
 import willowdoor.GatewayApi.Phase;
 import willowdoor.GatewayApi.Refuse;
 import willowdoor.GatewayApi.Request;
+import willowdoor.GatewayApi.RequestClass;
 import willowdoor.GatewayApi.Roster;
 import willowdoor.GatewayApi.RosterForm;
 import willowdoor.GatewayApi.Send;
+import willowdoor.GatewayApi.Settings;
 import willowdoor.GatewayApi.Status;
 import willowdoor.GatewayApi.StreamBegan;
 import willowdoor.GatewayApi.WakeAt;
@@ -49,9 +51,15 @@
 
   private final JsonParser in;
   private final JsonGenerator out;
-  private final Map<Integer, QuotaPolicy> policies = new HashMap<>();
+  private final Map<Integer, Door> doors = new HashMap<>();
   private final Map<Integer, List<BackendEntry>> lists = new HashMap<>();
 
+  private record Door(QuotaPolicy policy, Settings settings) {
+    RequestClass type(String name) {
+      return settings.classes().stream().filter(c -> c.name().equals(name)).findFirst().orElse(null);
+    }
+  }
+
   BenchLink(InputStream input, OutputStream output) throws IOException {
     JsonFactory factory = new JsonFactory();
     in = factory.createParser(input);
@@ -104,20 +112,21 @@
   private List<Action> actions(int door, String name, Map<String, Object> message, double now) {
     if (name.equals("Attach")) {
       long seed = (long) number(message, "RandomSeed");
-      QuotaPolicy policy = new QuotaPolicy(WireSettings.read(child(message, "Setup")), seed);
-      policies.put(door, policy);
+      Settings settings = WireSettings.read(child(message, "Setup"));
+      QuotaPolicy policy = new QuotaPolicy(settings, seed);
+      doors.put(door, new Door(policy, settings));
       return policy.start(now);
     }
     if (name.equals("Halt")) {
-      policies.remove(door);
+      doors.remove(door);
       return List.of();
     }
-    QuotaPolicy policy = policies.get(door);
-    Event event = event(name, message);
-    return policy == null || event == null ? List.of() : policy.on(now, event);
+    Door at = doors.get(door);
+    Event event = at == null ? null : event(name, message, at);
+    return event == null ? List.of() : at.policy.on(now, event);
   }
 
-  private Event event(String name, Map<String, Object> m) {
+  private Event event(String name, Map<String, Object> m, Door at) {
     return switch (name) {
       case "Discovery" -> new Roster(switch (text(m, "Form")) {
         case "changes" -> RosterForm.CHANGES;
@@ -125,7 +134,7 @@
         case "remembered" -> RosterForm.REMEMBERED;
         default -> RosterForm.FAILED;
       }, lists.getOrDefault((int) number(m, "Bank"), List.of()));
-      case "Req" -> new Request(text(m, "Tid"), text(m, "Kind"), text(m, "Package"),
+      case "Req" -> new Request(text(m, "Tid"), at.type(text(m, "Kind")), text(m, "Package"),
           (long) number(m, "Customer"), (int) number(m, "EntryPoints"), number(m, "CostUnits"),
           number(m, "GiveUpAtMs"));
       case "Accepted" -> new StreamBegan(text(m, "Tid"), (int) number(m, "SendNo"));
--- a/src/main/java/willowdoor/GatewayApi.java
+++ b/src/main/java/willowdoor/GatewayApi.java
@@ -4,7 +4,8 @@
 
 /**
  * What passes between a gateway and its decision module, {@link QuotaPolicy}: the settings at the start, then
- * events in, actions out. Times are milliseconds on a clock that only moves forward. Nothing is decided here.
+ * events in, new settings among them, and actions out. Times are milliseconds on a clock that only moves
+ * forward. Nothing is decided here.
  */
 public final class GatewayApi {
 
@@ -67,9 +68,13 @@
 
   public record Roster(RosterForm form, List<BackendEntry> entries) implements Event { }
 
-  public record Request(String id, String className, String planName, long customer, int entryPoints,
+  /** A request; its class is that of the settings it came under, and null where they name none such. */
+  public record Request(String id, RequestClass type, String planName, long customer, int entryPoints,
       double units, double giveUpMs) implements Event { }
 
+  /** From now on these settings hold; what is open keeps its class. */
+  public record Reconfigured(Settings settings) implements Event { }
+
   /** A streamed answer has begun. */
   public record StreamBegan(String request, int attempt) implements Event { }
 
--- a/src/main/java/willowdoor/GatewayState.java
+++ b/src/main/java/willowdoor/GatewayState.java
@@ -46,7 +46,7 @@
   /** One customer as this gateway sees it. */
   static class AccountState {
     final long customer;
-    final Plan plan;
+    Plan plan;
     /** Through how many gateways its requests may come. */
     final int gateways;
     /** Shift and length of its counts' windows; plain: one burst a window, no bucket followed. */
@@ -161,6 +161,8 @@
     final Request request;
     final RequestClass type;
     final double takenAt;
+    /** How many attempts the settings allowed when it came. */
+    final int attemptsThen;
     /** Waits for the counter; its call is unanswered; its units are, or may be, in the shared count. */
     boolean waiting;
     boolean called;
@@ -179,8 +181,9 @@
     double keyedUntil = Double.POSITIVE_INFINITY;
     int attempts;
 
-    JobState(Request request, RequestClass type, double now) {
+    JobState(Request request, RequestClass type, int attemptsThen, double now) {
       this.request = request;
+      this.attemptsThen = attemptsThen;
       this.type = type;
       this.takenAt = now;
     }
--- a/src/main/java/willowdoor/QuotaPolicy.java
+++ b/src/main/java/willowdoor/QuotaPolicy.java
@@ -87,10 +87,9 @@
   /** What a backend is taken to need before anything was seen of it. */
   private static final double UNKNOWN_SERVICE_MS = 100;
 
-  private final Settings settings;
+  private Settings settings;
   private final SplittableRandom random;
   private final Map<String, Plan> plans = new HashMap<>();
-  private final Map<String, RequestClass> classes = new HashMap<>();
   private List<Action> out = new ArrayList<>();
   private double now, startedAt;
 
@@ -100,7 +99,6 @@
     retriesSaved = Math.max(1, FLEET_RETRIES_SAVED / Math.max(1, settings.gateways()));
     retryTokens = retriesSaved;
     settings.plans().forEach(p -> plans.put(p.name(), p));
-    settings.classes().forEach(c -> classes.put(c.name(), c));
   }
 
   /** To be called once, before any event. */
@@ -135,22 +133,36 @@
       onRoster(e);
     } else if (event instanceof ClientLeft e) {
       onClientLeft(e.request());
+    } else if (event instanceof Reconfigured e) {
+      onSettings(e.settings());
     } else if (event instanceof StreamBegan e && open.containsKey(e.request())) {
       open.get(e.request()).streaming = true;
     }
     return out;
   }
 
+  /** Takes new settings; counts, health and open requests live on. */
+  private void onSettings(Settings changed) {
+    settings = changed;
+    plans.clear();
+    settings.plans().forEach(p -> plans.put(p.name(), p));
+    for (Account a : accounts.values()) {
+      Plan p = plans.getOrDefault(a.plan.name(), a.plan);
+      if (!p.equals(a.plan)) {
+        a.advance();
+        a.follow(p);
+        a.level = Math.min(a.level, p.burst());
+      }
+    }
+  }
+
   // ---- Quota ----
 
   /** What this gateway knows of one customer: a replica of its plan's bucket, fed by the shared totals. */
   private final class Account extends AccountState {
     Account(long customer, Plan plan, int gateways) {
       super(customer, plan, Math.max(1, Math.min(gateways, settings.gateways())), now);
-      double refillMs = plan.rate() > 0 ? 1000 * plan.burst() / plan.rate() : 0;
-      double followed = plan.ceilingRate() > 0 ? WINDOW_MS : WINDOW_MS * FOLLOWING / this.gateways;
-      windowMs = Math.max(refillMs, Math.min(WINDOW_MS, followed));
-      plain = windowMs < 2 * refillMs && settings.allowed().sharedCount();
+      follow(plan);
       phase = Math.floorMod(customer * 0x9E3779B97F4A7C15L, (long) WINDOW_MS);
       level = settings.allowed().sharedCount() ? plan.burst() : plan.burst() / this.gateways;
       fillCeiling((now - startedAt) / 1000);
@@ -158,6 +170,15 @@
       othersRate = plan.rate() * (plain ? USUAL_USE : 1 - 1.0 / this.gateways);
     }
 
+    /** Binds it to a plan, which settles the windows of its counts. */
+    void follow(Plan followed) {
+      plan = followed;
+      double refillMs = plan.rate() > 0 ? 1000 * plan.burst() / plan.rate() : 0;
+      double longest = plan.ceilingRate() > 0 ? WINDOW_MS : WINDOW_MS * FOLLOWING / gateways;
+      windowMs = Math.max(refillMs, Math.min(WINDOW_MS, longest));
+      plain = windowMs < 2 * refillMs && settings.allowed().sharedCount();
+    }
+
     /** The share of a ceiling for gateways by themselves: all for two, for more a largest request each. */
     double ownShare() {
       return Math.min(1, Math.max(2.0 / gateways, gateways * settings.maxUnits() / plan.ceilingBurst()));
@@ -735,7 +756,7 @@
     Backend keyedTo, lastBackend;
 
     Job(Request request, RequestClass type, Account account) {
-      super(request, type, now);
+      super(request, type, settings.allowed().attempts(), now);
       this.account = account;
     }
 
@@ -757,10 +778,9 @@
 
   /** A class not in the settings is treated as one that must never run twice. */
   private RequestClass type(Request r) {
-    RequestClass known = classes.get(r.className());
     double left = r.giveUpMs() - now;
-    return known != null ? known
-        : new RequestClass(r.className(), 1, 0, left / 2, left, Repeat.UNSAFE, Group.CELL, 0, false);
+    return r.type() != null ? r.type()
+        : new RequestClass("", 1, 0, left / 2, left, Repeat.UNSAFE, Group.CELL, 0, false);
   }
 
   private void onRequest(Request r) {
@@ -821,7 +841,7 @@
 
   private void send(Job job, Backend b) {
     double left = job.request.giveUpMs() - now - GUARD_MS;
-    if (left <= 0 || job.attempts >= settings.allowed().attempts()) {
+    if (left <= 0 || job.attempts >= Math.min(job.attemptsThen, settings.allowed().attempts())) {
       giveUp(job);
       return;
     }
--- a/src/main/java/willowdoor/net/ClientServer.java
+++ b/src/main/java/willowdoor/net/ClientServer.java
@@ -33,13 +33,18 @@
   private static final int MOST_BODY = 64 * 1024;
   /** How often connections are looked at for overdue requests. */
   private static final long SWEEP_MS = 200;
+  /** So long after new settings clients may still ask by those before: 1.2 s, and those that come late. */
+  private static final double FORMER_MS = 3_000;
   /** So long after it is told to drain, the front has heard the no, and sends no new connections. */
   static final double NOTICED_MS = 550;
 
   private final Clock clock;
   private final ModuleDriver driver;
   private final BackendPool backends;
-  private final RequestReader reader;
+  private RequestReader reader;
+  /** By the settings before, while clients may still ask by those. */
+  private RequestReader former;
+  private double formerUntil = Double.NEGATIVE_INFINITY;
   private final Bounds bounds;
   private final Places places;
   /** In the order of their opening. */
@@ -125,13 +130,28 @@
   }
 
   Request read(FullHttpRequest message, double arrivedAt) throws RequestReader.BadRequest {
-    Request request = reader.read(message, arrivedAt);
+    Request request;
+    try {
+      request = reader.read(message, arrivedAt);
+    } catch (RequestReader.BadRequest e) {
+      if (clock.now() > formerUntil) {
+        throw e;
+      }
+      request = former.read(message, arrivedAt);
+    }
     if (driver.holds(request.id())) {
       throw new RequestReader.BadRequest("Request-Id is in use");
     }
     return request;
   }
 
+  /** New settings hold for what is read from now on. */
+  void read(RequestReader by) {
+    former = reader;
+    formerUntil = clock.now() + FORMER_MS;
+    reader = by;
+  }
+
   /** Whether it takes clients' requests; asked by the operators' door too, from its own thread. */
   boolean ready() {
     return lifecycle.serving() && backends.knowsAny();
--- a/src/main/java/willowdoor/net/Config.java
+++ b/src/main/java/willowdoor/net/Config.java
@@ -8,7 +8,11 @@
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import willowdoor.GatewayApi.Settings;
 import willowdoor.JsonFields;
 import willowdoor.WireSettings;
@@ -16,33 +20,58 @@
 /** What a front door is told at its start: the file that {@code GW_CONFIG} names. */
 record Config(InetSocketAddress listen, InetSocketAddress mgmt, InetSocketAddress discovery,
     InetSocketAddress counter, long seed, Settings settings, Bounds limits, double connectLimitMs,
-    double idleLimitMs, RosterNews known) {
+    double idleLimitMs, RosterNews known, Map<String, Object> fields) {
 
-  /** The addresses that a new configuration may move. */
-  record Peers(InetSocketAddress discovery, InetSocketAddress counter) { }
+  private static final Set<String> REPEATS = Set.of("pure", "token", "side_effect");
+  /** Keys that the wire allows to be absent. */
+  private static final Set<String> OPTIONAL = Set.of("AimStretch", "Fleet");
 
   /** Reads the file; anything that keeps the front door from serving is an IOException in plain words. */
   static Config read(Path file) throws IOException {
     return of(fields(file));
   }
 
-  /** Reads only what may change while the front door serves. */
-  static Peers readPeers(Path file) throws IOException {
+  /** Reads a replaced file, which is to have every key that the one in use has. */
+  static Config reread(Path file, Config inUse) throws IOException {
     Map<String, Object> fields = fields(file);
-    return new Peers(address(fields, "discovery"),
-        fields.get("counter") == null ? null : address(fields, "counter"));
+    complete(fields, inUse.fields, "");
+    return of(fields);
+  }
+
+  /** Guards against a file that lacks what would else be taken for nought or for a usual value. */
+  private static void complete(Map<String, Object> fields, Map<String, Object> inUse, String where)
+      throws IOException {
+    for (Map.Entry<String, Object> e : inUse.entrySet()) {
+      String name = where + e.getKey();
+      if (fields.get(e.getKey()) == null && e.getValue() != null && !OPTIONAL.contains(e.getKey())) {
+        throw new IOException(name + " is missing");
+      }
+      complete(JsonFields.child(fields, e.getKey()), JsonFields.child(inUse, e.getKey()), name + ".");
+      List<Map<String, Object>> before = JsonFields.children(inUse, e.getKey());
+      if (!before.isEmpty() && !e.getKey().equals("servers")) {
+        Map<String, Object> common = new HashMap<>(before.get(0));
+        before.forEach(b -> common.keySet().retainAll(b.keySet()));
+        for (Map<String, Object> item : JsonFields.children(fields, e.getKey())) {
+          complete(item, common, name + ".");
+        }
+      }
+    }
   }
 
   /** The environment is each process's own, while two may share the file: what it names goes first. */
   Config withMgmt(String address) throws IOException {
     return address == null ? this : new Config(listen, address(Map.of("mgmt", address), "mgmt"), discovery,
-        counter, seed, settings, limits, connectLimitMs, idleLimitMs, known);
+        counter, seed, settings, limits, connectLimitMs, idleLimitMs, known, fields);
   }
 
   private static Map<String, Object> fields(Path file) throws IOException {
     try (JsonParser in = new JsonFactory().createParser(Files.readAllBytes(file))) {
       in.nextToken();
-      return JsonFields.object(in);
+      Map<String, Object> fields = JsonFields.object(in);
+      if (in.nextToken() != null) {
+        throw new IOException("more follows the object");
+      }
+      return fields;
     } catch (NoSuchFileException e) {
       throw new IOException("there is no file " + file, e);
     }
@@ -55,6 +84,23 @@
       throw new IOException("settings name no classes or no plans");
     }
     Map<String, Object> bounds = JsonFields.child(settings, "Bounds");
+    if (!(JsonFields.number(bounds, "MaxAttempts") >= 1)) {
+      throw new IOException("MaxAttempts is not a positive number");
+    }
+    Set<String> names = new HashSet<>();
+    for (Map<String, Object> c : JsonFields.children(settings, "Profiles")) {
+      String name = JsonFields.text(c, "Name");
+      double deadline = JsonFields.number(c, "DeadlineMs");
+      if (name.isEmpty() || !names.add(name)) {
+        throw new IOException("a class without a name of its own: '" + name + "'");
+      }
+      if (!(deadline > 0 && deadline < Double.POSITIVE_INFINITY)) {
+        throw new IOException("DeadlineMs of " + name + " is not a positive number");
+      }
+      if (!REPEATS.contains(JsonFields.text(c, "Repeat"))) {
+        throw new IOException("Repeat of " + name + " is unknown");
+      }
+    }
     Map<String, Object> limits = JsonFields.child(fields, "limits");
     Bounds held = Bounds.of(JsonFields.number(limits, "sockets", Bounds.USUAL_SOCKETS),
         JsonFields.number(limits, "memory_mb", Bounds.USUAL_MEMORY_MB),
@@ -65,7 +111,8 @@
     InetSocketAddress mgmt = fields.get("mgmt") == null ? null : address(fields, "mgmt");
     return new Config(listen, mgmt, address(fields, "discovery"), counter, seed(fields), parsed,
         held, JsonFields.number(bounds, "DialTimeoutMs", 250),
-        JsonFields.number(bounds, "ConnIdleMs", 15_000), RosterNews.of(JsonFields.child(fields, "known")));
+        JsonFields.number(bounds, "ConnIdleMs", 15_000), RosterNews.of(JsonFields.child(fields, "known")),
+        fields);
   }
 
   private static long seed(Map<String, Object> fields) throws IOException {
--- a/src/main/java/willowdoor/net/FrontDoor.java
+++ b/src/main/java/willowdoor/net/FrontDoor.java
@@ -38,7 +38,8 @@
   private final Handover handover;
   private OperatorsDoor operators;
   private Channel listening;
-  private long answerMs;
+  /** The one in use. */
+  private volatile Config config;
 
   private FrontDoor(Path shared) {
     handover = new Handover(shared);
@@ -73,8 +74,7 @@
   private static FrontDoor start(Config config, Path shared, Preparation beforeListening)
       throws IOException, InterruptedException {
     FrontDoor door = new FrontDoor(shared);
-    door.answerMs = ANSWER_MS + (long) Math.min(MOST_DEADLINE_MS,
-        config.settings().classes().stream().mapToDouble(RequestClass::deadlineMs).max().orElse(0));
+    door.config = config;
     try {
       door.openForOperators(config);
       door.loop.submit(() -> door.wire(config)).sync();
@@ -138,19 +138,23 @@
   }
 
   /**
-   * Takes the addresses of discovery and of the counter from the replaced file; nothing else of it changes
-   * while the process lives. Guards against a file that cannot be read: the old addresses stay.
+   * Takes the replaced file, whole or not at all; read and checked on the caller's thread, as the loop has
+   * clients waiting. What the sockets were set up with (limits, own addresses) stays until the next start.
    */
-  void reload(Path file) {
-    loop.execute(() -> {
-      try {
-        Config.Peers peers = Config.readPeers(file);
-        counter.moveTo(peers.counter());
-        discovery.moveTo(peers.discovery());
-      } catch (IOException | RuntimeException e) {
-        LOG.warning("the new configuration is not taken: " + e.getMessage());
-      }
-    });
+  synchronized void reload(Path file) {
+    try {
+      Config read = Config.reread(file, config);
+      config = read;
+      loop.execute(() -> {
+        counter.moveTo(read.counter());
+        discovery.moveTo(read.discovery());
+        driver.onSettings(read.settings());
+        clients.read(new RequestReader(read.settings()));
+      });
+      LOG.info("the new configuration is taken");
+    } catch (IOException | RuntimeException e) {
+      LOG.warning("the new configuration is not taken: " + e.getMessage());
+    }
   }
 
   /**
@@ -160,6 +164,8 @@
    */
   void end() {
     lifecycle.end();
+    long answerMs = ANSWER_MS + (long) Math.min(MOST_DEADLINE_MS,
+        config.settings().classes().stream().mapToDouble(RequestClass::deadlineMs).max().orElse(0));
     long acceptMs = handover.otherServes() ? 0 : ACCEPT_MS;
     loop.schedule(clients::stopAccepting, acceptMs, TimeUnit.MILLISECONDS);
     loop.scheduleWithFixedDelay(() -> {
--- a/src/main/java/willowdoor/net/ModuleDriver.java
+++ b/src/main/java/willowdoor/net/ModuleDriver.java
@@ -20,11 +20,13 @@
 import willowdoor.GatewayApi.Event;
 import willowdoor.GatewayApi.Fail;
 import willowdoor.GatewayApi.Outcome;
+import willowdoor.GatewayApi.Reconfigured;
 import willowdoor.GatewayApi.Refuse;
 import willowdoor.GatewayApi.Request;
 import willowdoor.GatewayApi.Roster;
 import willowdoor.GatewayApi.RosterForm;
 import willowdoor.GatewayApi.Send;
+import willowdoor.GatewayApi.Settings;
 import willowdoor.GatewayApi.Status;
 import willowdoor.GatewayApi.WakeAt;
 import willowdoor.GatewayApi.Woken;
@@ -141,6 +143,10 @@
     }
   }
 
+  void onSettings(Settings settings) {
+    deliver(new Reconfigured(settings));
+  }
+
   void onCounted(Counted counted) {
     deliver(counted);
   }
--- a/src/main/java/willowdoor/net/RequestReader.java
+++ b/src/main/java/willowdoor/net/RequestReader.java
@@ -85,15 +85,15 @@
     if (customer >= CUSTOMERS) {
       throw new BadRequest("X-Customer is out of range");
     }
-    return quota(text(headers, Headers.QUOTA), id, type.name(), plan, customer, now + timeout);
+    return quota(text(headers, Headers.QUOTA), id, type, plan, customer, now + timeout);
   }
 
   /**
    * The field {@code units=2,spread=3,first=1}. What is out of range is refused, not clipped: the request may
    * bear another customer's name, and that customer's account must not move by it.
    */
-  private Request quota(String field, String id, String type, String plan, long customer, double giveUpMs)
-      throws BadRequest {
+  private Request quota(String field, String id, RequestClass type, String plan, long customer,
+      double giveUpMs) throws BadRequest {
     long units = 0;
     long spread = 0;
     long first = -1;
--- a/src/test/java/willowdoor/CeilingTest.java
+++ b/src/test/java/willowdoor/CeilingTest.java
@@ -54,7 +54,7 @@
       }
       gateways[i].now = now;
       units = 1 + random.nextInt(4);
-      gateways[i].on(new Request("s" + step, "safe", "ceiled", 42, 2, units, now + 4000));
+      gateways[i].on(new Request("s" + step, Fixtures.type("safe"), "ceiled", 42, 2, units, now + 4000));
       answer(gateways[i], gateways[i].last, random, step % 400 < 200 ? trouble : 0);
     }
   }
--- a/src/test/java/willowdoor/EmbedExampleTest.java
+++ b/src/test/java/willowdoor/EmbedExampleTest.java
@@ -51,7 +51,7 @@
     policy.start(now);
     events.add(new Roster(RosterForm.COMPLETE, List.of(new BackendEntry(7, "a", 0, Phase.SERVING, 1, 0))));
     for (int i = 0; i < 20; i++) {
-      events.add(new Request("r" + i, "read", "basic", 42, 1, 1, now + 2000));
+      events.add(new Request("r" + i, read, "basic", 42, 1, 1, now + 2000));
     }
     while (!events.isEmpty()) {
       for (Action action : policy.on(now, events.poll())) {
--- a/src/test/java/willowdoor/Fixtures.java
+++ b/src/test/java/willowdoor/Fixtures.java
@@ -67,6 +67,12 @@
         new Allowed(counter, 30, true, false, 4, 1000, true, 2000, ask), new Rules(8, 0.2, 10_000, 3, 2000));
   }
 
+  /** The class of that name in the settings of these tests. */
+  static RequestClass type(String name) {
+    return settings(true, 2, false).classes().stream().filter(c -> c.name().equals(name)).findFirst()
+        .orElse(null);
+  }
+
   static Fixtures counted() {
     return new Fixtures(settings(true, 2, false)).backends(4);
   }
@@ -109,7 +115,7 @@
 
   String request(String className, String plan, double units) {
     String id = "r" + next++;
-    on(new Request(id, className, plan, 42, 2, units, now + 4000));
+    on(new Request(id, type(className), plan, 42, 2, units, now + 4000));
     return id;
   }
 
--- a/src/test/java/willowdoor/FleetTest.java
+++ b/src/test/java/willowdoor/FleetTest.java
@@ -54,7 +54,7 @@
       wake(f, now, world);
       int units = 1 + random.nextInt(4);
       asked.put("f" + next, units);
-      f.on(new Request("f" + next++, "safe", plan, 42, fleet.size(), units, now + 4000));
+      f.on(new Request("f" + next++, Fixtures.type("safe"), plan, 42, fleet.size(), units, now + 4000));
       hand(f, world);
     }
     fleet.forEach(f -> wake(f, begin + 1000 * seconds, world));
@@ -273,7 +273,7 @@
         Fixtures f = new Fixtures(Fixtures.settings(true, gateways, false)).backends(1000);
         int[] answers = new int[1];
         assertDoesNotThrow(() -> {
-          f.on(new Request("x", "safe", "rated", 5, entryPoints, 1, f.now + 4000));
+          f.on(new Request("x", Fixtures.type("safe"), "rated", 5, entryPoints, 1, f.now + 4000));
           for (int i = 0; i < 500; i++) {
             answers[0] += f.did(Refuse.class) || f.did(Fail.class) ? 1 : 0;
             if (f.did(Send.class)) {
--- a/src/test/java/willowdoor/QuotaPolicyTest.java
+++ b/src/test/java/willowdoor/QuotaPolicyTest.java
@@ -10,19 +10,25 @@
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import willowdoor.GatewayApi.Add;
+import willowdoor.GatewayApi.Allowed;
 import willowdoor.GatewayApi.BackendEntry;
 import willowdoor.GatewayApi.Cancel;
 import willowdoor.GatewayApi.ClientLeft;
 import willowdoor.GatewayApi.Counted;
 import willowdoor.GatewayApi.Fail;
 import willowdoor.GatewayApi.FollowRoster;
+import willowdoor.GatewayApi.Group;
 import willowdoor.GatewayApi.Outcome;
 import willowdoor.GatewayApi.Phase;
+import willowdoor.GatewayApi.Reconfigured;
 import willowdoor.GatewayApi.Refuse;
+import willowdoor.GatewayApi.Repeat;
 import willowdoor.GatewayApi.Request;
+import willowdoor.GatewayApi.RequestClass;
 import willowdoor.GatewayApi.Roster;
 import willowdoor.GatewayApi.RosterForm;
 import willowdoor.GatewayApi.Send;
+import willowdoor.GatewayApi.Settings;
 import willowdoor.GatewayApi.Status;
 import willowdoor.GatewayApi.StreamBegan;
 import willowdoor.GatewayApi.Woken;
@@ -177,7 +183,7 @@
   @Test
   void unknownPlanAndClassAreStillAnsweredOnce() {
     Fixtures f = Fixtures.counted();
-    f.on(new Request("x", "no such class", "no such plan", 9, 2, 1, f.now + 4000));
+    f.on(new Request("x", Fixtures.type("no such class"), "no such plan", 9, 2, 1, f.now + 4000));
     Send s = f.total(1).only(Send.class);
     f.outcome(s, 0, Status.ERROR, false);
     assertTrue(f.did(Fail.class), "an unknown class may not run twice");
@@ -206,7 +212,7 @@
     Fixtures f = Fixtures.counted();
     int calls = 0;
     for (int i = 0; i < 200; i++) {
-      f.pass(20).on(new Request("q" + i, "safe", "rated", 1000 + i, 2, 1, f.now + 4000));
+      f.pass(20).on(new Request("q" + i, Fixtures.type("safe"), "rated", 1000 + i, 2, 1, f.now + 4000));
       if (f.did(Add.class)) {
         calls++;
         f.callFails(Status.UNREACHABLE);
@@ -215,7 +221,7 @@
     assertTrue(calls < 40, "calls while the counter is away: " + calls);
     int answered = 0;
     for (int i = 0; i < 200; i++) {
-      f.pass(20).on(new Request("p" + i, "safe", "rated", 5000 + i, 2, 1, f.now + 4000));
+      f.pass(20).on(new Request("p" + i, Fixtures.type("safe"), "rated", 5000 + i, 2, 1, f.now + 4000));
       if (f.did(Add.class)) {
         answered++;
         f.total(1);
@@ -325,7 +331,7 @@
     assertFalse(f.did(Send.class), "no backend is known");
     f.run(1000);
     assertTrue(f.did(Refuse.class));
-    f.on(new Request("short", "safe", "free", 1, 2, 1, f.now + 5));
+    f.on(new Request("short", Fixtures.type("safe"), "free", 1, 2, 1, f.now + 5));
     assertTrue(f.did(Refuse.class), "no time is left to look again");
   }
 
@@ -477,4 +483,56 @@
     f.on(new Woken("follow"));
     assertTrue(f.did(FollowRoster.class));
   }
+
+  private static Settings changed(Settings s, Repeat repeatOfSafe, int attempts) {
+    List<RequestClass> classes = s.classes().stream().map(c -> !c.name().equals("safe") ? c
+        : new RequestClass("safe", 1, 0, 1000, 4000, repeatOfSafe, Group.ALL, 0, false)).toList();
+    Allowed a = s.allowed();
+    return new Settings(s.gateways(), s.self(), s.zone(), s.maxUnits(), s.crossZonePrice(), s.sizesTold(),
+        classes, s.plans(), new Allowed(a.sharedCount(), a.countLimitMs(), a.cancel(), a.duplicates(),
+            attempts, a.open(), a.holdOff(), a.maxHoldOffMs(), a.rosterOnRequest()), s.rules());
+  }
+
+  /** What is open goes by the rules it came under, what comes afterwards by the new ones. */
+  @Test
+  void openRequestsKeepTheirClassWhenSettingsChange() {
+    Fixtures f = Fixtures.counted();
+    f.request("safe", "free", 1);
+    Send open = f.only(Send.class);
+    Settings unsafe = changed(Fixtures.settings(true, 2, false), Repeat.UNSAFE, 4);
+    f.on(new Reconfigured(unsafe));
+    f.outcome(open, 0, Status.RESET, false);
+    assertTrue(f.did(Send.class), "it may run again");
+    f.on(new Request("late", unsafe.classes().get(0), "free", 42, 2, 1, f.now + 4000));
+    f.outcome(f.only(Send.class), 0, Status.RESET, false);
+    assertTrue(f.did(Fail.class), "that may not");
+  }
+
+  /** The fewer attempts of those allowed when it came and those allowed now break neither. */
+  @Test
+  void attemptsStayWithinBothSettings() {
+    for (int changed : new int[] {1, 9}) {
+      Fixtures f = Fixtures.counted();
+      f.request("safe", "free", 1);
+      Send open = f.only(Send.class);
+      f.on(new Reconfigured(changed(Fixtures.settings(true, 2, false), Repeat.SAFE, changed)));
+      int attempts = 1;
+      for (f.outcome(open, 0, Status.NOT_SENT, false); f.did(Send.class); attempts++) {
+        f.outcome(open = f.only(Send.class), attempts, Status.NOT_SENT, false);
+      }
+      assertEquals(Math.min(4, changed), attempts);
+    }
+  }
+
+  /** A customer that has spent its quota has spent it under new settings too. */
+  @Test
+  void countsLiveOnWhenSettingsChange() {
+    Fixtures f = Fixtures.counted();
+    f.request("safe", "rated", 4);
+    f.total(200);
+    assertTrue(f.did(Refuse.class));
+    f.on(new Reconfigured(changed(Fixtures.settings(true, 2, false), Repeat.SAFE, 3)));
+    f.request("safe", "rated", 4);
+    assertTrue(f.did(Refuse.class), "without asking again");
+  }
 }
--- a/src/test/java/willowdoor/net/ReloadTest.java
+++ b/src/test/java/willowdoor/net/ReloadTest.java
@@ -76,4 +76,71 @@
     }
     assertTrue(after.watches.isEmpty());
   }
+
+  private static String withClass(String config, String name, String repeat) {
+    return config.replace("\"Profiles\":[", "\"Profiles\":[{\"Name\":\"" + name + "\",\"Repeat\":\"" + repeat
+        + "\",\"AimMs\":1500,\"DeadlineMs\":4000,\"Value\":1,\"Group\":\"all\"},");
+  }
+
+  private String own() {
+    return before.config(Peers.entry("s-1", before.backend.getLocalPort(), "active"));
+  }
+
+  @Test
+  void aClassIsAddedAndAnotherDropped() throws Exception {
+    Client client = before.client();
+    String extra = Peers.get("r1", 3000).replace("quote", "extra");
+    assertEquals(400, client.ask(extra).status());
+    reload(withClass(own(), "extra", "pure").replace("\"Name\":\"quote\"", "\"Name\":\"other\""));
+    while (client.ask(extra).status() != 200) {
+      Thread.onSpinWait();
+    }
+    assertEquals(200, client.ask(Peers.get("r2", 3000)).status(), "those under way still name the old class");
+    for (int n = 0; client.ask(Peers.get("r" + n, 3000)).status() == 200; n++) {
+      TimeUnit.MILLISECONDS.sleep(50);
+    }
+    assertEquals(400, client.ask(Peers.get("r4", 3000)).status());
+    assertEquals(200, client.ask(extra).status());
+  }
+
+  /** Clients ask by the old method until they have heard; both ways are served meanwhile. */
+  @Test
+  void aClassWhoseEffectChangesIsServedInBothWays() throws Exception {
+    Client client = before.client();
+    String keyed = Peers.post("p1", "b").replace("buy", "quote");
+    assertEquals(400, client.ask(keyed).status());
+    reload(own().replace("\"quote\",\"Repeat\":\"pure\"", "\"quote\",\"Repeat\":\"token\""));
+    while (client.ask(keyed).status() != 200) {
+      Thread.onSpinWait();
+    }
+    assertEquals(200, client.ask(Peers.get("r1", 3000)).status());
+  }
+
+  @Test
+  void nothingIsTakenFromABrokenFile() throws Exception {
+    String good = withClass(own(), "extra", "pure")
+        .replace("127.0.0.1:" + before.discovery.getLocalPort(),
+            "127.0.0.1:" + after.discovery.getLocalPort());
+    String extra = Peers.get("r1", 3000).replace("quote", "extra");
+    Client client = before.client();
+    for (String broken : new String[] {"", "{}", good.substring(0, good.length() / 2), good + "}",
+        good.replaceAll("\"settings\"", "\"setings\""), good.replace("\"MaxAttempts\":6,", ""),
+        good.replace("\"MaxAttempts\":6", "\"MaxAttempts\":0"),
+        good.replace("\"MaxAttempts\":6", "\"MaxAttempts\":\"6\""),
+        good.replaceFirst("\"DeadlineMs\":4000,", ""), good.replaceFirst("4000", "-4000"),
+        good.replaceFirst("4000", "null"), good.replaceFirst("\"pure\"", "\"sometimes\""),
+        good.replaceFirst("\"Repeat\":\"pure\",", ""), good.replace("\"Rules\"", "\"Rule\""),
+        good.replace("\"counter\":", "\"count\":"), good.replace("\"Refill\":400,", "")}) {
+      reload(broken);
+      // The loop has done by the second question whatever the reload had asked of it.
+      assertEquals(200, client.ask(Peers.get("g" + broken.hashCode(), 3000)).status());
+      assertEquals(400, client.ask(extra).status(), broken);
+    }
+    assertTrue(after.watches.isEmpty());
+    reload(good);
+    while (client.ask(extra).status() != 200) {
+      Thread.onSpinWait();
+    }
+    Peers.next(after.watches);
+  }
 }
