--- a/src/main/java/willowdoor/GatewayApi.java
+++ b/src/main/java/willowdoor/GatewayApi.java
@@ -70,11 +70,23 @@
 
   /** A request; its class is that of the settings it came under, and null where they name none such. */
   public record Request(String id, RequestClass type, String planName, long customer, int entryPoints,
-      double units, double giveUpMs) implements Event { }
+      double units, double giveUpMs) implements Event {
+
+    /** The same while its body is still coming: its time is not known yet. */
+    public Request withoutLimit() {
+      return new Request(id, type, planName, customer, entryPoints, units, Double.POSITIVE_INFINITY);
+    }
+  }
 
   /** From now on these settings hold; what is open keeps its class. */
   public record Reconfigured(Settings settings) implements Event { }
 
+  /**
+   * The last byte of a request has come that was taken while its body was still coming, with no time to give
+   * up at: it is known from here. What was sent of such a body cannot be sent again.
+   */
+  public record BodyWhole(String request, double giveUpMs) implements Event { }
+
   /** A streamed answer has begun. */
   public record StreamBegan(String request, int attempt) implements Event { }
 
--- a/src/main/java/willowdoor/GatewayState.java
+++ b/src/main/java/willowdoor/GatewayState.java
@@ -160,7 +160,14 @@
   static class JobState {
     final Request request;
     final RequestClass type;
-    final double takenAt;
+    /** When it came, or the last of its body, if it was taken before. */
+    double takenAt;
+    double giveUpMs;
+    /** Its body is handed on as it comes; and whether it is still coming. */
+    final boolean handedOn;
+    boolean coming;
+    /** Some of such a body has gone, so it cannot be sent again. */
+    boolean handed;
     /** How many attempts the settings allowed when it came. */
     final int attemptsThen;
     /** Waits for the counter; its call is unanswered; its units are, or may be, in the shared count. */
@@ -186,10 +193,13 @@
       this.attemptsThen = attemptsThen;
       this.type = type;
       this.takenAt = now;
+      giveUpMs = request.giveUpMs();
+      coming = Double.isInfinite(giveUpMs);
+      handedOn = coming;
     }
 
     double aim() {
-      return type.aimMs() > 0 ? type.aimMs() : Math.max(1, request.giveUpMs() - takenAt);
+      return type.aimMs() > 0 ? type.aimMs() : Math.max(1, giveUpMs - takenAt);
     }
   }
 }
--- a/src/main/java/willowdoor/QuotaPolicy.java
+++ b/src/main/java/willowdoor/QuotaPolicy.java
@@ -135,8 +135,10 @@
       onClientLeft(e.request());
     } else if (event instanceof Reconfigured e) {
       onSettings(e.settings());
-    } else if (event instanceof StreamBegan e && open.containsKey(e.request())) {
-      open.get(e.request()).streaming = true;
+    } else if (event instanceof StreamBegan e) {
+      onStreamBegan(e);
+    } else if (event instanceof BodyWhole e && open.containsKey(e.request())) {
+      onBodyWhole(open.get(e.request()), e.giveUpMs());
     }
     return out;
   }
@@ -565,7 +567,7 @@
     final Job job;
     final int number;
     final Backend backend;
-    final double sentAt;
+    double sentAt;
 
     Attempt(Job job, int number, Backend backend, double sentAt) {
       this.job = job;
@@ -840,7 +842,7 @@
   }
 
   private void send(Job job, Backend b) {
-    double left = job.request.giveUpMs() - now - GUARD_MS;
+    double left = job.giveUpMs - now - GUARD_MS;
     if (left <= 0 || job.attempts >= Math.min(job.attemptsThen, settings.allowed().attempts())) {
       giveUp(job);
       return;
@@ -859,7 +861,9 @@
     job.lastBackend = b;
     job.account.out++;
     outNow++;
-    b.out.add(attempt);
+    if (!job.coming) {
+      b.out.add(attempt);
+    }
     attempts.put(job.request.id() + "#" + attempt.number, attempt);
     out.add(new Send(job.request.id(), b.id, left));
   }
@@ -873,6 +877,29 @@
     }
   }
 
+  /** The backend begins only now: neither its time nor the request's has counted until here. */
+  private void onBodyWhole(Job job, double giveUpMs) {
+    job.coming = false;
+    job.giveUpMs = giveUpMs;
+    job.takenAt = now;
+    if (job.live != null) {
+      job.live.sentAt = now;
+      job.live.backend.out.add(job.live);
+    }
+  }
+
+  /** The backend has done its work: what follows is a matter of how fast its client reads. */
+  private void onStreamBegan(StreamBegan e) {
+    Attempt attempt = attempts.get(e.request() + "#" + e.attempt());
+    if (attempt != null && !attempt.job.streaming) {
+      attempt.job.streaming = true;
+      attempt.backend.out.remove(attempt);
+      attempt.backend.answeredAt = now;
+      attempt.backend.answeredSentAt = Math.max(attempt.backend.answeredSentAt, attempt.sentAt);
+      outNow--;
+    }
+  }
+
   private void onOutcome(Outcome e) {
     Attempt attempt = attempts.remove(e.request() + "#" + e.attempt());
     if (attempt == null) {
@@ -881,7 +908,7 @@
     Job job = attempt.job;
     attempt.backend.out.remove(attempt);
     job.account.out--;
-    outNow--;
+    outNow -= job.streaming ? 0 : 1;
     measureWait(attempt, e);
     job.live = job.live == attempt ? null : job.live;
     learn(attempt.backend, attempt, e);
@@ -896,6 +923,7 @@
     // None of these tells of overload, against which the budget of further attempts guards.
     job.unreached = e.status() == Status.UNREACHABLE || e.status() == Status.BROKEN
         || e.status() == Status.NOT_SENT || e.status() == Status.SPOILT;
+    job.handed |= job.handedOn && e.status() != Status.UNREACHABLE && e.status() != Status.NOT_SENT;
     if (e.over()) {
       open.remove(e.request());
     } else if (open.containsKey(e.request())) {
@@ -906,8 +934,8 @@
   private void again(Job job) {
     boolean allowed = !job.mayHaveRun || job.type.repeat() == Repeat.SAFE
         || job.type.repeat() == Repeat.KEYED && now < job.keyedUntil - GUARD_MS;
-    double left = job.request.giveUpMs() - now;
-    if (!allowed || retryTokens < 1 && !job.unreached || left < fleetService / 2 + GUARD_MS) {
+    double left = job.giveUpMs - now;
+    if (job.handed || !allowed || retryTokens < 1 && !job.unreached || left < fleetService / 2 + GUARD_MS) {
       giveUp(job);
     } else {
       dispatch(job);
@@ -985,7 +1013,7 @@
 
   /** True when the next look would come too late for an answer in time. */
   private boolean late(Job job) {
-    return now + GUARD_MS + TICK_MS >= job.request.giveUpMs();
+    return now + GUARD_MS + TICK_MS >= job.giveUpMs;
   }
 
   /**
@@ -998,7 +1026,7 @@
     double patience = job.aim() * FIRST_TRY_OF_AIM;
     boolean passedOver = a.backend.answeredSentAt > a.sentAt + patience;
     if ((passedOver || a.backend.answeredAt <= a.sentAt) && now - a.sentAt > patience
-        && !job.abandoned && !job.streaming && settings.allowed().cancel()
+        && !job.abandoned && !job.streaming && !job.handedOn && settings.allowed().cancel()
         && job.type.repeat() != Repeat.UNSAFE && retryTokens >= 1) {
       job.abandoned = true;
       out.add(new Cancel(job.request.id(), a.number));
--- a/src/main/java/willowdoor/net/Attempt.java
+++ b/src/main/java/willowdoor/net/Attempt.java
@@ -1,15 +1,19 @@
 package willowdoor.net;
 
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.Future;
 import willowdoor.GatewayApi.Status;
 
 /** One attempt of a request at one backend, from the module's send to its one outcome. */
 abstract class Attempt {
 
-  final FullHttpRequest message;
+  final HttpRequest head;
+  final Body body;
+  /** Infinite while the body is still to come: the time counts from its end. */
   final double timeoutMs;
   /** Null while the attempt has no connection yet. */
   BackendConnection connection;
@@ -17,22 +21,29 @@
   boolean written;
   /** Fires when the attempt's time is up. */
   Future<?> timer;
+  /** Its answer is being passed on to the client. */
+  private boolean begun;
   private boolean ended;
 
-  Attempt(FullHttpRequest message, double timeoutMs) {
-    this.message = message;
+  Attempt(HttpRequest head, Body body, double timeoutMs) {
+    this.head = head;
+    this.body = body;
     this.timeoutMs = timeoutMs;
   }
 
   /** True when the protocol has it that this request must never run twice: it is posted without a key. */
   final boolean once() {
-    return message.method().equals(HttpMethod.POST) && !message.headers().contains(Headers.IDEMPOTENCY_KEY);
+    return head.method().equals(HttpMethod.POST) && !head.headers().contains(Headers.IDEMPOTENCY_KEY);
   }
 
   final boolean ended() {
     return ended;
   }
 
+  final boolean begun() {
+    return begun;
+  }
+
   /**
    * How a broken connection ends this attempt: whether it may have run is told by the write alone. Stale: the
    * connection had been kept, and nothing came of this attempt's answer.
@@ -44,9 +55,26 @@
     return stale ? Status.SPOILT : Status.RESET;
   }
 
-  /** How running out of time ends this attempt; one without a connection tells nothing of its backend. */
+  /**
+   * How running out of time ends this attempt; one without a connection tells nothing of its backend, and of
+   * one that was not written whole nothing ran.
+   */
   final Status overdue() {
-    return written ? Status.TIMED_OUT : Status.NOT_SENT;
+    return written ? Status.TIMED_OUT : connection == null ? Status.NOT_SENT : Status.BROKEN;
+  }
+
+  /** From here on its answer goes to the client as it comes, however long that takes; false if unwanted. */
+  final boolean begin(HttpResponse answer) {
+    begun = true;
+    stopTimer();
+    return onBegin(answer);
+  }
+
+  /** The client takes more of its answer. */
+  final void resume() {
+    if (!ended && connection != null) {
+      connection.resume();
+    }
   }
 
   /** Ends the attempt; later endings are ignored, so that the module gets exactly one outcome. */
@@ -55,10 +83,15 @@
       return;
     }
     ended = true;
+    stopTimer();
+    body.leave(connection);
+    onEnd(status, answer);
+  }
+
+  private void stopTimer() {
     if (timer != null) {
       timer.cancel(false);
     }
-    onEnd(status, answer);
   }
 
   /** Stops waiting. The connection is given up with it, as an answer may still come on it. */
@@ -73,6 +106,16 @@
     }
   }
 
-  /** The answer is only lent, and null unless the status is OK. */
+  /** An answer begins that is too large to be held; true if it is wanted. */
+  boolean onBegin(HttpResponse answer) {
+    return false;
+  }
+
+  /** A piece of that answer, only lent; true while more is wanted now. */
+  boolean onPiece(HttpContent piece) {
+    return false;
+  }
+
+  /** The answer is only lent, and null unless the status is OK and the answer was held. */
   abstract void onEnd(Status status, FullHttpResponse answer);
 }
--- a/src/main/java/willowdoor/net/BackendConnection.java
+++ b/src/main/java/willowdoor/net/BackendConnection.java
@@ -3,14 +3,18 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpContent;
+import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpStatusClass;
@@ -23,13 +27,18 @@
 import willowdoor.GatewayApi.Status;
 
 /** One connection to a backend: at most one attempt at a time, and what its answer means. */
-final class BackendConnection extends SimpleChannelInboundHandler<HttpObject> {
+final class BackendConnection extends SimpleChannelInboundHandler<HttpObject> implements Body.Sink {
 
-  private static final int MOST_BODY = 64 * 1024;
+  /** An answer within this is held whole, so that another can take its place; a larger one is passed on. */
+  private static final int MOST_HELD = 64 * 1024;
+  /** Answers reach 32 MB; a length far beyond that is none. */
+  private static final long MOST_PASSED = 64 << 20;
   /** Answers 1xx that may come ahead of the real one. */
   private static final int MOST_AHEAD = 16;
-  /** An answer is small and written at once: one that has begun and is not whole by then does not fit. */
-  private static final long WHOLE_MS = 250;
+  /** An answer that has begun and of which nothing came for so long is given up while it can be replaced. */
+  private static final long STOPPED_MS = 250;
+  /** One that the client has a part of cannot be: it is waited for as long as anything may still come. */
+  private static final double PASSED_STOPPED_MS = 10_000;
 
   private final BackendPool pool;
   private final ResponseDecoder decoder;
@@ -50,8 +59,11 @@
   private int ahead;
   /** More has come than the one answer. */
   private boolean overfull;
-  /** Ends an answer that stops half way. */
+  /** Ends an answer that stops half way; and when the last of it came. */
   private Future<?> stop;
+  private double progressAt;
+  /** The client takes no more for now. */
+  private boolean paused;
 
   BackendConnection(BackendPool pool, BackendPool.Backend backend, ResponseDecoder decoder) {
     this.pool = pool;
@@ -75,10 +87,26 @@
   }
 
   /** Writes the attempt's request; nothing below the module ever writes it again. */
-  void carry(Attempt attempt, FullHttpRequest request) {
+  void carry(Attempt attempt) {
     current = attempt;
     attempt.connection = this;
-    channel.writeAndFlush(request).addListener((ChannelFuture f) -> {
+    HttpRequest head = attempt.head;
+    if (attempt.timeoutMs < Double.POSITIVE_INFINITY) {
+      head.headers().set(Headers.TIMEOUT_MS, Long.toString((long) Math.ceil(attempt.timeoutMs)));
+    }
+    if (attempt.body.whole()) {
+      lastWrite(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, head.method(), head.uri(),
+          attempt.body.held().retainedDuplicate(), head.headers(), EmptyHttpHeaders.INSTANCE));
+    } else {
+      channel.write(new DefaultHttpRequest(HttpVersion.HTTP_1_1, head.method(), head.uri(), head.headers()));
+      attempt.body.passTo(this);
+      channel.flush();
+    }
+  }
+
+  private void lastWrite(HttpObject last) {
+    Attempt attempt = current;
+    channel.writeAndFlush(last).addListener((ChannelFuture f) -> {
       attempt.written = f.isSuccess();
       if (!f.isSuccess()) {
         attempt.end(Status.BROKEN, null);
@@ -87,6 +115,34 @@
     });
   }
 
+  @Override
+  public boolean piece(ByteBuf bytes) {
+    channel.writeAndFlush(new DefaultHttpContent(bytes))
+        .addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+    return channel.isWritable();
+  }
+
+  @Override
+  public void end() {
+    lastWrite(LastHttpContent.EMPTY_LAST_CONTENT);
+  }
+
+  @Override
+  public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+    if (current != null && channel.isWritable()) {
+      current.body.wanted();
+    }
+  }
+
+  /** The client can take more of the answer. */
+  void resume() {
+    if (paused) {
+      paused = false;
+      progressAt = pool.now();
+      channel.config().setAutoRead(true);
+    }
+  }
+
   @Override
   protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
     if (current == null) {
@@ -110,22 +166,29 @@
     boolean framed = HttpUtil.isContentLengthSet(answer) || HttpUtil.isTransferEncodingChunked(answer);
     boolean informational = answer.status().codeClass() == HttpStatusClass.INFORMATIONAL;
     long length = HttpUtil.getContentLength(answer, 0L);
-    if (informational ? ++ahead > MOST_AHEAD : !framed || length > MOST_BODY) {
+    if (informational ? ++ahead > MOST_AHEAD : !framed || length > MOST_PASSED) {
       // Without a length the end of the connection is the end of the body, and a cut would look like it.
       spoilt();
     } else {
       head = answer;
-      body = channel.alloc().buffer((int) length);
+      if (length > MOST_HELD) {
+        passOn();
+      } else {
+        body = channel.alloc().buffer((int) length);
+      }
     }
   }
 
   private void add(HttpContent content) {
-    if (body.readableBytes() + content.content().readableBytes() > MOST_BODY) {
-      spoilt();
-      return;
+    if (!current.begun() && body.readableBytes() + content.content().readableBytes() > MOST_HELD) {
+      passOn();
+    }
+    if (current != null && current.begun()) {
+      pass(content);
+    } else if (current != null) {
+      body.writeBytes(content.content());
     }
-    body.writeBytes(content.content());
-    if (content instanceof LastHttpContent) {
+    if (current != null && content instanceof LastHttpContent) {
       if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
         forget();
       } else {
@@ -134,6 +197,30 @@
     }
   }
 
+  /** Begins to pass the answer on: it is too large to be held, or so slow that its client may wait for it. */
+  private void passOn() {
+    if (!current.written || status(head) != Status.OK) {
+      spoilt();
+      return;
+    }
+    boolean wanted = current.begin(head);
+    if (current == null) {
+      return;
+    }
+    if (!wanted) {
+      current.abandon(Status.CANCELLED);
+    } else if (body != null && body.isReadable()) {
+      pass(new DefaultHttpContent(body));
+    }
+  }
+
+  private void pass(HttpContent content) {
+    if (!current.onPiece(content) && current != null && !(content instanceof LastHttpContent)) {
+      paused = true;
+      channel.config().setAutoRead(false);
+    }
+  }
+
   /**
    * Hands the answer on once the read is finished: only then it shows whether more than the answer has come.
    * Guards against a second copy, or noise, that would be taken for the next attempt's answer.
@@ -142,20 +229,42 @@
   public void channelReadComplete(ChannelHandlerContext ctx) {
     if (current != null && whole) {
       answered();
-    } else if (current != null && stop == null && (head != null || decoder.holdsMore())) {
-      stop = ctx.executor().schedule(this::spoilt, WHOLE_MS, TimeUnit.MILLISECONDS);
+    } else if (current != null && (head != null || decoder.holdsMore())) {
+      progressAt = pool.now();
+      if (stop == null) {
+        stop = ctx.executor().schedule(this::check, STOPPED_MS, TimeUnit.MILLISECONDS);
+      }
     } else if (current == null && decoder.holdsMore()) {
       ctx.close();
     }
   }
 
+  private void check() {
+    stop = null;
+    double quiet = paused ? 0 : pool.now() - progressAt;
+    if (quiet >= (current.begun() ? PASSED_STOPPED_MS : STOPPED_MS)) {
+      spoilt();
+      return;
+    }
+    // Where no length is told the answer may be one of those whose first bytes are waited for.
+    if (!current.begun() && head != null && body != null && HttpUtil.isTransferEncodingChunked(head)
+        && current.written && status(head) == Status.OK) {
+      passOn();
+    }
+    if (current != null) {
+      stop = channel.eventLoop().schedule(this::check, STOPPED_MS, TimeUnit.MILLISECONDS);
+    }
+  }
+
   private void answered() {
     Attempt attempt = current;
-    DefaultFullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, head.status(),
-        body.retain(), head.headers(), EmptyHttpHeaders.INSTANCE);
+    FullHttpResponse answer = attempt.begun() ? null : new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+        head.status(), body.retain(), head.headers(), EmptyHttpHeaders.INSTANCE);
     boolean inStep = attempt.written;
     boolean reusable = inStep && !attempt.ended() && !overfull && !decoder.holdsMore()
         && HttpUtil.isKeepAlive(head) && channel.isActive();
+    // An answer ahead of the request's end is none to this request.
+    Status status = inStep ? status(head) : Status.BROKEN;
     current = null;
     forget();
     if (reusable) {
@@ -166,11 +275,11 @@
     if (kept) {
       pool.trust.lived(idleMs);
     }
-    // An answer ahead of the request's end is none to this request.
-    Status status = inStep ? status(answer) : Status.BROKEN;
     kept = true;
     attempt.end(status, status == Status.OK ? answer : null);
-    answer.release();
+    if (answer != null) {
+      answer.release();
+    }
   }
 
   /** What came cannot be the answer: the request may have run, and the connection is of no more use. */
@@ -180,7 +289,7 @@
     forget();
     channel.close();
     if (attempt != null) {
-      attempt.end(attempt.written ? Status.SPOILT : Status.BROKEN, null);
+      attempt.end(!attempt.written ? Status.BROKEN : attempt.begun() ? Status.RESET : Status.SPOILT, null);
     }
   }
 
@@ -197,10 +306,11 @@
     }
     if (current == null) {
       ahead = 0;
+      resume();
     }
   }
 
-  private static Status status(FullHttpResponse answer) {
+  private static Status status(HttpResponse answer) {
     HttpResponseStatus code = answer.status();
     if (code.equals(HttpResponseStatus.OK)) {
       return Status.OK;
@@ -226,7 +336,7 @@
     }
   }
 
-  /** A reset, an answer over the bound or a fault of ours: this connection is of no more use. */
+  /** A reset or a fault of ours: this connection is of no more use. */
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
     ctx.close();
--- a/src/main/java/willowdoor/net/BackendPool.java
+++ b/src/main/java/willowdoor/net/BackendPool.java
@@ -4,7 +4,6 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
@@ -97,6 +96,18 @@
     return knowsAny;
   }
 
+  double now() {
+    return clock.now();
+  }
+
+  /** Gives an attempt up after that time, if it is known. */
+  void limit(Attempt attempt, double timeoutMs) {
+    if (timeoutMs < Double.POSITIVE_INFINITY) {
+      attempt.timer = loop.schedule(() -> attempt.abandon(attempt.overdue()),
+          Math.max(0, (long) (timeoutMs * 1000)), TimeUnit.MICROSECONDS);
+    }
+  }
+
   /** Starts an attempt on an idle connection, or on a new one. */
   void start(long id, Attempt attempt) {
     Backend b = backends.get(id);
@@ -104,11 +115,10 @@
       attempt.end(Status.NOT_SENT, null);
       return;
     }
-    long timeout = Math.max(0, (long) (attempt.timeoutMs * 1000));
-    attempt.timer = loop.schedule(() -> attempt.abandon(attempt.overdue()), timeout, TimeUnit.MICROSECONDS);
+    limit(attempt, attempt.timeoutMs);
     BackendConnection c = idle(b, attempt);
     if (c != null) {
-      c.carry(attempt, request(b, attempt));
+      c.carry(attempt);
     } else if (!places.roomForBackend() && !dropIdle()) {
       attempt.end(Status.NOT_SENT, null);
     } else {
@@ -158,7 +168,7 @@
       if (attempt.ended()) {
         f.channel().close();
       } else if (f.isSuccess()) {
-        c.carry(attempt, request(b, attempt));
+        c.carry(attempt);
       } else {
         attempt.end(unconnected(f.cause()), null);
       }
@@ -176,12 +186,6 @@
     return String.valueOf(cause.getMessage()).contains("reset") ? Status.BROKEN : Status.UNREACHABLE;
   }
 
-  private static FullHttpRequest request(Backend b, Attempt attempt) {
-    FullHttpRequest request = attempt.message.retainedDuplicate();
-    request.headers().set(Headers.TIMEOUT_MS, Long.toString((long) Math.ceil(attempt.timeoutMs)));
-    return request;
-  }
-
   void release(BackendConnection c) {
     if (!c.backend.gone && c.backend.place.equals(c.place)) {
       c.idleSince = clock.now();
--- /dev/null
+++ b/src/main/java/willowdoor/net/Body.java
@@ -0,0 +1,132 @@
+package willowdoor.net;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.util.function.IntConsumer;
+
+/**
+ * The body of a request on its way from its client to a backend. Within the bound it is held whole, so that
+ * it can go out again. A larger one is handed through as it comes, as fast as both sides go, and not kept.
+ */
+final class Body {
+
+  static final int MOST_HELD = 64 * 1024;
+
+  /** Where it comes from. */
+  interface Source {
+    void wants(boolean more);
+  }
+
+  /** Where it is handed on to. */
+  interface Sink {
+    /** Takes the bytes; true while more are wanted now. */
+    boolean piece(ByteBuf bytes);
+
+    void end();
+  }
+
+  private final Source source;
+  private final IntConsumer account;
+  private ByteBuf held = Unpooled.EMPTY_BUFFER;
+  private Sink sink;
+  private boolean whole;
+  /** Nobody wants any more of it. */
+  private boolean dropped;
+
+  /** What is held of it, and given back, is told to the account. */
+  Body(Source source, IntConsumer account) {
+    this.source = source;
+    this.account = account;
+  }
+
+  /** A whole body of these bytes. */
+  static Body of(ByteBuf bytes) {
+    Body body = new Body(more -> { }, change -> { });
+    body.add(bytes);
+    body.end();
+    return body;
+  }
+
+  /** More has come; the bytes are only lent. */
+  void add(ByteBuf bytes) {
+    if (dropped || !bytes.isReadable()) {
+      return;
+    }
+    if (sink != null) {
+      source.wants(sink.piece(bytes.retain()));
+      return;
+    }
+    int more = bytes.readableBytes();
+    if (held == Unpooled.EMPTY_BUFFER) {
+      held = Unpooled.buffer(more);
+    }
+    held.writeBytes(bytes);
+    account.accept(more);
+    if (large()) {
+      source.wants(false);
+    }
+  }
+
+  /** Its last byte has come. */
+  void end() {
+    whole = true;
+    if (sink != null) {
+      sink.end();
+    }
+  }
+
+  boolean whole() {
+    return whole;
+  }
+
+  /** More is held than is to be. */
+  boolean large() {
+    return held.readableBytes() > MOST_HELD;
+  }
+
+  /** All of it where it is whole; only lent. */
+  ByteBuf held() {
+    return held;
+  }
+
+  /** Hands on what is held, and from then on what comes. */
+  void passTo(Sink to) {
+    sink = to;
+    ByteBuf first = held;
+    give();
+    boolean more = !first.isReadable() || to.piece(first);
+    if (whole) {
+      to.end();
+    } else {
+      source.wants(more);
+    }
+  }
+
+  /** The sink can be written again. */
+  void wanted() {
+    if (!whole && !dropped) {
+      source.wants(true);
+    }
+  }
+
+  /** The sink has ended: what is still to come goes nowhere. */
+  void leave(Sink from) {
+    if (sink == from) {
+      sink = null;
+      dropped = true;
+    }
+  }
+
+  /** Nothing of it is needed any more. */
+  void release() {
+    dropped = true;
+    ByteBuf last = held;
+    give();
+    last.release();
+  }
+
+  private void give() {
+    account.accept(-held.readableBytes());
+    held = Unpooled.EMPTY_BUFFER;
+  }
+}
--- a/src/main/java/willowdoor/net/ClientConnection.java
+++ b/src/main/java/willowdoor/net/ClientConnection.java
@@ -3,23 +3,29 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.CodecException;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.DefaultHttpResponse;
 import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.codec.http.TooLongHttpContentException;
+import io.netty.handler.codec.http.LastHttpContent;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Locale;
@@ -29,16 +35,24 @@
 import willowdoor.GatewayApi.Request;
 
 /** One client's connection: a request at a time, each with the one final answer. */
-final class ClientConnection extends SimpleChannelInboundHandler<FullHttpRequest> {
+final class ClientConnection extends SimpleChannelInboundHandler<HttpObject> {
 
   private static final Logger LOG = Logger.getLogger(ClientConnection.class.getName());
   /** How long a connection that is ended over bad input stays half open, so that the answer is read. */
   private static final long LINGER_MS = 300;
+  /** One over a larger request stays so for as long as more of that comes, within this. */
+  private static final double MOST_LINGER_MS = 10_000;
   /**
-   * From its connecting, or for a later request from its first byte, a client has so long for a whole
-   * request. A trickle does not extend it: each held connection is one that another client cannot have.
+   * From its connecting, or for a later request from its first byte, a client has so long for a request's
+   * head. A trickle does not extend it: each held connection is one that another client cannot have.
    */
   private static final double REQUEST_MS = 2_200;
+  /** For the body it has this and the time that it takes at the least pace, 64 kB a second. */
+  private static final double BODY_MS = 700;
+  private static final double BODY_BYTES_PER_MS = 60;
+  private static final long MOST_BODY = 32L << 20;
+  /** Who has taken nothing of an answer, or of a body, for so long is not there any more. */
+  private static final double STUCK_MS = 10_000;
   /** Between requests a connection may be ended after this, if another wants its place. */
   private static final double EVICT_MS = 2_050;
   /** One with no whole request in so long goes sooner: clients connect in order to ask, and ask at once. */
@@ -54,25 +68,56 @@
   private boolean over;
   /** The request that is being worked on, and whether its connection is kept after it. */
   private String current;
+  private Incoming handled;
   private boolean keepAlive;
+  /** Where the pieces of its answer come from, and since when the client takes none. */
+  private Attempt passing;
+  private double stuckSince = Double.NaN;
   private boolean ending;
   /** When it was opened or last answered. */
   private double quietSince;
   private boolean asked;
-  /** When the request that is being received began, or NaN; and how many bytes have come of it. */
+  /** When the request that is being received began, or NaN; and how many bytes have come of its head. */
   private double receivingSince = Double.NaN;
-  private int receivedBytes;
+  private int headBytes;
+  /** That request, once its head has come; and since when its body is not wanted for now. */
+  private Incoming coming;
+  private double pausedSince;
+  private double heardAt;
   /** Too many requests came at once: those kept are answered, and then the connection ends. */
   private boolean overrun;
   /** Requests that wait their turn, and whether the first of them is about to have it. */
-  private final ArrayDeque<Waiting> waiting = new ArrayDeque<>(1);
+  private final ArrayDeque<Incoming> waiting = new ArrayDeque<>(1);
   private boolean proceeding;
 
-  /** A request and when its last byte came to this machine: from then on its time counts. */
-  private record Waiting(FullHttpRequest message, double arrivedAt) { }
+  /** A request as it comes. */
+  private final class Incoming {
+    final HttpRequest head;
+    final Body body = new Body(ClientConnection.this::read, server::hold);
+    /** When its last byte came to this machine: from then on its time counts. */
+    double arrivedAt;
+    /** When its body began, later by as long as that was not wanted; and how much has come of it. */
+    double bodySince = server.now();
+    long bodyBytes;
+    boolean queued;
+    /** Taken by the module, with so much time from its last byte on. */
+    boolean taken;
+    double timeoutMs;
+    boolean malformed;
+    boolean expects;
+
+    Incoming(HttpRequest head) {
+      this.head = head;
+      malformed = head.decoderResult().isFailure();
+      expects = !malformed && HttpUtil.is100ContinueExpected(head);
+    }
+
+    boolean tooLarge() {
+      return Math.max(bodyBytes, HttpUtil.getContentLength(head, 0L)) > MOST_BODY;
+    }
+  }
 
   ClientConnection(ClientServer server) {
-    super(false);
     this.server = server;
   }
 
@@ -85,16 +130,20 @@
 
   /** Called with the size of what has come, before it is decoded; false when nothing more is wanted. */
   boolean receives(int bytes) {
+    heardAt = server.now();
     if (ending || overrun) {
       return false;
     }
     if (Double.isNaN(receivingSince)) {
-      receivingSince = server.now();
+      receivingSince = heardAt;
     }
-    receivedBytes += bytes;
-    if (server.receiving(bytes) && receivedBytes > bytes) {
-      endWith(HttpResponseStatus.SERVICE_UNAVAILABLE, "too much is being received");
-      return false;
+    if (coming == null) {
+      headBytes += bytes;
+      server.hold(bytes);
+      if (server.full() && headBytes > bytes) {
+        endWith(HttpResponseStatus.SERVICE_UNAVAILABLE, "too much is being received");
+        return false;
+      }
     }
     return true;
   }
@@ -106,10 +155,21 @@
     }
   }
 
-  private void receivedAll() {
-    receivingSince = Double.NaN;
-    server.receiving(-receivedBytes);
-    receivedBytes = 0;
+  private void receivedHead() {
+    server.hold(-headBytes);
+    headBytes = 0;
+  }
+
+  /** Reads on, or leaves what the client sends to the kernel. */
+  private void read(boolean on) {
+    if (on != channel.config().isAutoRead()) {
+      if (!on) {
+        pausedSince = server.now();
+      } else if (coming != null) {
+        coming.bodySince += server.now() - pausedSince;
+      }
+      channel.config().setAutoRead(on);
+    }
   }
 
   double quietSince() {
@@ -128,35 +188,130 @@
   }
 
   /**
-   * Guards against clients that never finish a request, say nothing, or never come back; and while draining
-   * ends what no request is on. One that has just connected may still ask.
+   * Guards against clients that never finish a request, say nothing, never come back, or read no answer; and
+   * while draining ends what no request is on. One that has just connected may still ask.
    */
   void endIfOverdue(double now) {
-    if (current != null || ending) {
+    if (ending) {
       return;
     }
-    if (!Double.isNaN(receivingSince)) {
+    if (now - stuckSince > STUCK_MS) {
+      channel.close();
+    } else if (coming != null && (current == null || coming.taken)) {
+      endIfSlow(now);
+    } else if (current == null && !Double.isNaN(receivingSince)) {
       if (now - (asked ? receivingSince : quietSince) > REQUEST_MS) {
         endWith(HttpResponseStatus.REQUEST_TIMEOUT, "request is not whole in time");
       }
-    } else if (asked && server.drained()
-        || now - quietSince > (asked ? IDLE_MS : REQUEST_MS)) {
+    } else if (asked && server.drained() || now - quietSince > (asked ? IDLE_MS : REQUEST_MS)) {
       closeIfIdle();
     }
   }
 
+  private void endIfSlow(double now) {
+    double allowed = BODY_MS + coming.bodyBytes / BODY_BYTES_PER_MS;
+    if (!channel.config().isAutoRead()) {
+      if (coming.taken && now - pausedSince > STUCK_MS) {
+        giveUpBody(HttpResponseStatus.SERVICE_UNAVAILABLE, "body is not taken");
+      }
+    } else if (now - coming.bodySince > allowed
+        && now - (asked ? receivingSince : quietSince) > REQUEST_MS) {
+      giveUpBody(HttpResponseStatus.REQUEST_TIMEOUT, "body is not whole in time");
+    }
+  }
+
+  /** What was taken of it reaches no backend whole. */
+  private void giveUpBody(HttpResponseStatus status, String reason) {
+    if (coming != null && coming.taken && current != null) {
+      String id = current;
+      current = null;
+      server.driver().clientLeft(id);
+    }
+    endWith(status, reason);
+  }
+
   @Override
-  protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest message) {
-    receivedAll();
-    boolean first = current == null && waiting.isEmpty();
+  protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
     if (ending || overrun) {
-      message.release();
-    } else if (!first && (waiting.size() >= MOST_BEHIND || message.decoderResult().isFailure())) {
+      return;
+    }
+    if (part instanceof HttpRequest head) {
+      begin(head);
+    }
+    if (part instanceof HttpContent content && coming != null) {
+      more(content);
+    }
+  }
+
+  private void begin(HttpRequest head) {
+    receivedHead();
+    boolean first = current == null && waiting.isEmpty();
+    Incoming next = new Incoming(head);
+    if (!first && (waiting.size() >= MOST_BEHIND || next.malformed)) {
       // Reading goes on, so that a client that leaves is noticed; the bound is on what is kept.
       overrun = true;
-      message.release();
-    } else {
-      waiting.add(new Waiting(message, server.now() - Transport.waitedMs(channel)));
+      return;
+    }
+    if (next.malformed) {
+      next.body.end();
+      receivingSince = Double.NaN;
+      queue(next);
+      return;
+    }
+    coming = next;
+    if (next.tooLarge() || HttpUtil.getContentLength(head, 0L) > Body.MOST_HELD) {
+      queue(next);
+    }
+    encourage();
+  }
+
+  /** Tells a client that waits for it to send its body, once no answer is owed before. */
+  private void encourage() {
+    if (coming != null && coming.expects && !ending && !coming.tooLarge() && current == null
+        && (waiting.isEmpty() || waiting.peek() == coming)) {
+      coming.expects = false;
+      channel.writeAndFlush(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE,
+          Unpooled.EMPTY_BUFFER));
+    }
+  }
+
+  private void more(HttpContent content) {
+    Incoming in = coming;
+    in.bodyBytes += content.content().readableBytes();
+    if (content.decoderResult().isFailure() || in.tooLarge() && in.taken) {
+      in.malformed = !in.tooLarge();
+      if (in.taken) {
+        giveUpBody(in.tooLarge() ? HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE
+            : HttpResponseStatus.BAD_REQUEST, in.tooLarge() ? "body is too large" : "malformed body");
+      } else {
+        queue(in);
+      }
+      return;
+    }
+    if (!in.queued && in.bodyBytes > content.content().readableBytes() && server.full()) {
+      endWith(HttpResponseStatus.SERVICE_UNAVAILABLE, "too much is being received");
+      return;
+    }
+    in.body.add(content.content());
+    if (content instanceof LastHttpContent) {
+      coming = null;
+      receivingSince = Double.NaN;
+      in.arrivedAt = server.now() - Transport.waitedMs(channel);
+      in.body.end();
+      if (in.taken && handled == in && current != null) {
+        server.driver().bodyWhole(current, in.arrivedAt + in.timeoutMs);
+      }
+      queue(in);
+    } else if (in.body.large()) {
+      queue(in);
+    }
+  }
+
+  private void queue(Incoming in) {
+    if (!in.queued) {
+      in.queued = true;
+      in.arrivedAt = in.body.whole() ? in.arrivedAt : server.now();
+      waiting.add(in);
       proceed();
     }
   }
@@ -172,32 +327,38 @@
       proceeding = true;
       channel.eventLoop().execute(() -> {
         proceeding = false;
-        Waiting next = waiting.poll();
+        Incoming next = waiting.poll();
         if (next != null) {
-          handle(next.message, next.arrivedAt);
+          handle(next);
         }
       });
     }
+    encourage();
   }
 
-  private void handle(FullHttpRequest message, double arrivedAt) {
+  private void handle(Incoming in) {
     asked = true;
+    handled = in;
     try {
-      keepAlive = HttpUtil.isKeepAlive(message);
-      if (message.decoderResult().isFailure()) {
+      keepAlive = HttpUtil.isKeepAlive(in.head);
+      if (in.malformed) {
         endWith(HttpResponseStatus.BAD_REQUEST, "malformed request");
-      } else if (message.uri().equals("/up")) {
-        up(message);
+      } else if (in.tooLarge()) {
+        endWith(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body is too large");
+      } else if (in.head.uri().equals("/up")) {
+        up(in.head);
       } else if (over || server.full()) {
         keepAlive &= !over;
         refused(0);
       } else {
-        take(message, arrivedAt);
+        take(in);
       }
     } catch (RuntimeException e) {
       faulty(e);
     } finally {
-      message.release();
+      if (!in.taken) {
+        in.body.release();
+      }
     }
   }
 
@@ -213,59 +374,81 @@
     }
   }
 
-  private void up(FullHttpRequest message) {
+  private void up(HttpRequest message) {
     boolean get = message.method().equals(HttpMethod.GET);
     answer(!get ? HttpResponseStatus.METHOD_NOT_ALLOWED
         : server.ready() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE);
   }
 
-  private void take(FullHttpRequest message, double arrivedAt) {
+  private void take(Incoming in) {
     Request request;
     try {
-      request = server.read(message, arrivedAt);
+      request = server.read(in.head, in.arrivedAt);
     } catch (RequestReader.BadRequest e) {
       keepAlive &= e.framed();
       answer(HttpResponseStatus.BAD_REQUEST, e.getMessage());
       return;
     }
-    FullHttpRequest onward = onward(message);
+    in.timeoutMs = request.giveUpMs() - in.arrivedAt;
     current = request.id();
-    server.driver().take(request, onward, new ModuleDriver.Client() {
-      @Override
-      public void served(FullHttpResponse answer) {
-        current = null;
-        ClientConnection.this.served(answer);
-      }
-
-      @Override
-      public void refused(double holdOffMs) {
-        current = null;
-        ClientConnection.this.refused(holdOffMs);
-      }
-
-      @Override
-      public void failed() {
-        current = null;
-        answer(HttpResponseStatus.BAD_GATEWAY);
-      }
-    });
-    onward.release();
+    in.taken = true;
+    server.driver().take(in.body.whole() ? request : request.withoutLimit(), onward(in), in.body,
+        new ModuleDriver.Client() {
+          @Override
+          public void served(FullHttpResponse answer) {
+            current = null;
+            ClientConnection.this.served(answer);
+          }
+
+          @Override
+          public void begins(HttpResponse head, Attempt from) {
+            passing = from;
+            pass(head, in.head);
+          }
+
+          @Override
+          public boolean piece(HttpContent piece) {
+            return ClientConnection.this.piece(piece);
+          }
+
+          @Override
+          public void ends(boolean whole) {
+            if (passing != null) {
+              passed(whole);
+            }
+          }
+
+          @Override
+          public void refused(double holdOffMs) {
+            current = null;
+            ClientConnection.this.refused(holdOffMs);
+          }
+
+          @Override
+          public void failed() {
+            current = null;
+            answer(HttpResponseStatus.BAD_GATEWAY);
+          }
+        });
   }
 
-  /** What goes on to a backend: the request line, the body and the headers that are passed on, unchanged. */
-  private static FullHttpRequest onward(FullHttpRequest message) {
-    HttpHeaders from = message.headers();
-    DefaultFullHttpRequest onward = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, message.method(),
-        message.uri(), message.content().retain());
+  /** What goes on to a backend: the request line and the headers that are passed on, unchanged. */
+  private static HttpRequest onward(Incoming in) {
+    HttpHeaders from = in.head.headers();
+    DefaultHttpRequest onward = new DefaultHttpRequest(HttpVersion.HTTP_1_1, in.head.method(),
+        RequestReader.path(in.head.uri()));
     for (CharSequence name : new CharSequence[] {HttpHeaderNames.HOST, Headers.REQUEST_ID,
-        Headers.REQUEST_CLASS, Headers.IDEMPOTENCY_KEY, HttpHeaderNames.CONTENT_TYPE}) {
+        Headers.REQUEST_CLASS, Headers.IDEMPOTENCY_KEY, HttpHeaderNames.CONTENT_TYPE, Headers.TIMEOUT_MS}) {
       String value = from.get(name);
       if (value != null) {
         onward.headers().set(name, value);
       }
     }
-    if (message.content().isReadable() || message.method().equals(HttpMethod.POST)) {
-      onward.headers().set(HttpHeaderNames.CONTENT_LENGTH, message.content().readableBytes());
+    long length = in.body.whole() ? in.body.held().readableBytes() : HttpUtil.getContentLength(in.head, -1L);
+    if (length < 0) {
+      onward.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+    } else if (length > 0 || in.head.method().equals(HttpMethod.POST)) {
+      onward.headers().set(HttpHeaderNames.CONTENT_LENGTH, length);
     }
     return onward;
   }
@@ -273,11 +456,71 @@
   private void served(FullHttpResponse from) {
     DefaultFullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK,
         from.content().retain());
+    copyType(from, answer);
+    write(answer);
+  }
+
+  private static void copyType(HttpResponse from, HttpResponse to) {
     String type = from.headers().get(HttpHeaderNames.CONTENT_TYPE);
     if (type != null) {
-      answer.headers().set(HttpHeaderNames.CONTENT_TYPE, type);
+      to.headers().set(HttpHeaderNames.CONTENT_TYPE, type);
+    }
+  }
+
+  /** Begins an answer that follows in pieces. */
+  private void pass(HttpResponse from, HttpRequest to) {
+    DefaultHttpResponse answer = new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK);
+    copyType(from, answer);
+    if (HttpUtil.isContentLengthSet(from)) {
+      answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, HttpUtil.getContentLength(from));
+    } else if (to.protocolVersion().isKeepAliveDefault()) {
+      answer.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+    } else {
+      // Of HTTP/1.0: the end of the connection is the end of the answer.
+      keepAlive = false;
+    }
+    keepAlive = keeps(answer);
+    channel.writeAndFlush(answer);
+  }
+
+  private boolean piece(HttpContent piece) {
+    if (passing == null) {
+      return false;
+    }
+    channel.writeAndFlush(piece.retain());
+    if (!channel.isWritable() && Double.isNaN(stuckSince)) {
+      stuckSince = server.now();
+    }
+    return channel.isWritable();
+  }
+
+  /** The client takes more of its answer. */
+  @Override
+  public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+    if (channel.isWritable()) {
+      stuckSince = Double.NaN;
+      if (passing != null) {
+        passing.resume();
+      }
+    }
+  }
+
+  /** Ends such an answer; one that is not whole ends with a reset, which no framing takes for its end. */
+  private void passed(boolean whole) {
+    passing = null;
+    current = null;
+    stuckSince = Double.NaN;
+    quietSince = server.now();
+    if (!whole) {
+      ending = true;
+      dropWaiting();
+      channel.config().setOption(ChannelOption.SO_LINGER, 0);
+      channel.close();
+    } else if (keepAlive) {
+      proceed();
+    } else {
+      end(channel.writeAndFlush(Unpooled.EMPTY_BUFFER));
     }
-    write(answer);
   }
 
   private void refused(double holdOffMs) {
@@ -305,18 +548,38 @@
   private void write(FullHttpResponse answer) {
     answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, answer.content().readableBytes());
     quietSince = server.now();
+    boolean keep = keeps(answer);
+    ChannelFuture written = channel.writeAndFlush(answer);
+    if (keep) {
+      written.addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+      proceed();
+    } else {
+      end(written);
+    }
+  }
+
+  /** Whether the connection is kept after this answer, which tells the client. */
+  private boolean keeps(HttpResponse answer) {
     // In a crowd a kept connection is a place that another client may not find.
-    boolean keep = keepAlive && !server.draining() && !server.crowded() && !(overrun && waiting.isEmpty());
+    boolean keep = keepAlive && !server.draining() && !server.crowded() && !(overrun && waiting.isEmpty())
+        && handled.body.whole();
     if (!keep) {
-      ending = true;
       answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    } else if (!handled.head.protocolVersion().isKeepAliveDefault()) {
+      answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.KEEP_ALIVE);
     }
-    channel.writeAndFlush(answer).addListener(keep ? ChannelFutureListener.CLOSE_ON_FAILURE
-        : ChannelFutureListener.CLOSE);
-    if (ending) {
-      dropWaiting();
+    return keep;
+  }
+
+  /** Ends the connection with its last answer; a client that still sends a body gets to read that first. */
+  private void end(ChannelFuture answered) {
+    ending = true;
+    dropWaiting();
+    if (coming != null && coming == handled) {
+      linger(answered);
+    } else {
+      answered.addListener(ChannelFutureListener.CLOSE);
     }
-    proceed();
   }
 
   /** Answers what cannot be read any further, and lets the client read that before the connection ends. */
@@ -330,8 +593,24 @@
     FullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, text);
     answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, text.readableBytes());
     answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-    channel.writeAndFlush(answer).addListener(f -> ((SocketChannel) channel).shutdownOutput());
-    channel.eventLoop().schedule(() -> channel.close(), LINGER_MS, TimeUnit.MILLISECONDS);
+    linger(channel.writeAndFlush(answer));
+  }
+
+  private void linger(ChannelFuture answered) {
+    double until = server.now() + MOST_LINGER_MS;
+    boolean body = coming != null && coming.queued;
+    read(true);
+    answered.addListener(f -> ((SocketChannel) channel).shutdownOutput());
+    channel.eventLoop().schedule(() -> lingered(body ? until : 0), LINGER_MS, TimeUnit.MILLISECONDS);
+  }
+
+  private void lingered(double until) {
+    double now = server.now();
+    if (now - heardAt < LINGER_MS && now < until) {
+      channel.eventLoop().schedule(() -> lingered(until), LINGER_MS, TimeUnit.MILLISECONDS);
+    } else {
+      channel.close();
+    }
   }
 
   /** Ends the connection if no request is on it; one that is answered while draining ends by itself. */
@@ -343,16 +622,20 @@
   }
 
   private void dropWaiting() {
-    waiting.forEach(w -> w.message.release());
+    waiting.forEach(w -> w.body.release());
     waiting.clear();
+    if (coming != null && !coming.taken) {
+      coming.body.release();
+    }
   }
 
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     ending = true;
-    receivedAll();
+    receivedHead();
     dropWaiting();
     server.closed(this);
+    passing = null;
     if (current != null) {
       server.driver().clientLeft(current);
       current = null;
@@ -361,10 +644,6 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-    if (cause instanceof TooLongHttpContentException) {
-      endWith(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body is too large");
-      return;
-    }
     if (cause instanceof RuntimeException && !(cause instanceof CodecException)) {
       LOG.log(Level.SEVERE, "request failed", cause);
     }
--- a/src/main/java/willowdoor/net/ClientServer.java
+++ b/src/main/java/willowdoor/net/ClientServer.java
@@ -10,11 +10,8 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
-import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpMessage;
-import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseEncoder;
-import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
 import java.util.LinkedHashSet;
@@ -30,7 +27,6 @@
   private static final int SPARE_PART = 16;
   /** With so much of the places taken, connections end with their answers. */
   private static final double CROWDED = 0.75;
-  private static final int MOST_BODY = 64 * 1024;
   /** How often connections are looked at for overdue requests. */
   private static final long SWEEP_MS = 200;
   /** So long after new settings clients may still ask by those before: 1.2 s, and those that come late. */
@@ -49,7 +45,8 @@
   private final Places places;
   /** In the order of their opening. */
   private final Set<ClientConnection> connections = new LinkedHashSet<>();
-  private int receiving;
+  /** Bytes of requests that are held: being received, or until they need not go out again. */
+  private int held;
   private Channel listening;
   private final Lifecycle lifecycle;
 
@@ -71,6 +68,7 @@
         .option(ChannelOption.SO_REUSEADDR, true)
         .option(Transport.BEST.reusePort(), true)
         .childOption(ChannelOption.TCP_NODELAY, true)
+        .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, Transport.FEW_WAITING)
         .childHandler(new ChannelInitializer<Channel>() {
           @Override
           protected void initChannel(Channel channel) {
@@ -86,7 +84,7 @@
     ClientConnection connection = new ClientConnection(this);
     RequestDecoder decoder = new RequestDecoder();
     channel.pipeline().addLast(new Inflow(connection, decoder), decoder, new HttpResponseEncoder(),
-        new BoundedBody(connection), connection);
+        connection);
   }
 
   /** Sees a client's bytes first: when a request begins, how much of it has come, whether it is wanted. */
@@ -110,26 +108,11 @@
     }
   }
 
-  /** Collects a message's body; one over the bound is answered 413, and the connection ends. */
-  private static final class BoundedBody extends HttpObjectAggregator {
-    private final ClientConnection connection;
-
-    BoundedBody(ClientConnection connection) {
-      super(MOST_BODY);
-      this.connection = connection;
-    }
-
-    @Override
-    protected void handleOversizedMessage(ChannelHandlerContext ctx, HttpMessage oversized) {
-      connection.endWith(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body is too large");
-    }
-  }
-
   ModuleDriver driver() {
     return driver;
   }
 
-  Request read(FullHttpRequest message, double arrivedAt) throws RequestReader.BadRequest {
+  Request read(HttpRequest message, double arrivedAt) throws RequestReader.BadRequest {
     Request request;
     try {
       request = reader.read(message, arrivedAt);
@@ -170,15 +153,14 @@
     return clock.now();
   }
 
-  /** Counts bytes of requests that are being received, or gives them back; true when they are too many. */
-  boolean receiving(int bytes) {
-    receiving += bytes;
-    return receiving > bounds.bodyBytes();
+  /** Counts bytes of requests that are held, or gives them back. */
+  void hold(int bytes) {
+    held += bytes;
   }
 
-  /** With so much in bodies held, requests are refused, so that the process stays within its memory. */
+  /** With so much held requests are refused, so that the process stays within its memory. */
   boolean full() {
-    return driver.heldBytes() >= bounds.bodyBytes();
+    return held >= bounds.bodyBytes();
   }
 
   boolean crowded() {
--- a/src/main/java/willowdoor/net/Dialer.java
+++ b/src/main/java/willowdoor/net/Dialer.java
@@ -17,6 +17,7 @@
   static Dialer sockets(EventLoop loop, double limitMs) {
     Bootstrap bootstrap = new Bootstrap().group(loop).channel(Transport.BEST.socket())
         .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.WRITE_BUFFER_WATER_MARK, Transport.FEW_WAITING)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.ceil(limitMs));
     return (address, handler) -> bootstrap.clone().handler(handler).connect(address);
   }
--- a/src/main/java/willowdoor/net/FrontDoor.java
+++ b/src/main/java/willowdoor/net/FrontDoor.java
@@ -176,7 +176,10 @@
     try {
       if (!drained.await(answerMs, TimeUnit.MILLISECONDS)) {
         loop.submit(driver::failAll).sync();
-        drained.await(ACCEPT_MS / 2, TimeUnit.MILLISECONDS);
+        // What has begun is passed on for as long as the process is let be.
+        do {
+          drained.await(ACCEPT_MS / 2, TimeUnit.MILLISECONDS);
+        } while (loop.submit(driver::passing).sync().getNow() > 0);
       }
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
--- a/src/main/java/willowdoor/net/RequestReader.java
+++ b/src/main/java/willowdoor/net/RequestReader.java
@@ -1,9 +1,9 @@
 package willowdoor.net;
 
-import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
@@ -18,6 +18,7 @@
   private static final int MOST_ID = 128;
   private static final long CUSTOMERS = 1L << 33;
   private static final int MOST_HOST = 255;
+  private static final String HTTP = "http://";
 
   /** A message that is no request of this protocol. */
   static final class BadRequest extends Exception {
@@ -53,7 +54,7 @@
     mostUnits = settings.maxUnits() > 0 ? settings.maxUnits() : Double.POSITIVE_INFINITY;
   }
 
-  Request read(FullHttpRequest message, double now) throws BadRequest {
+  Request read(HttpRequest message, double now) throws BadRequest {
     HttpHeaders headers = message.headers();
     if (headers.contains(HttpHeaderNames.HOST) && text(headers, HttpHeaderNames.HOST).length() > MOST_HOST) {
       throw new BadRequest("Host is too long");
@@ -63,7 +64,7 @@
       throw new BadRequest("Request-Id is too long");
     }
     RequestClass type = classes.get(text(headers, Headers.REQUEST_CLASS));
-    if (type == null || !type.name().equals(firstPart(message.uri()))) {
+    if (type == null || !type.name().equals(firstPart(path(message.uri())))) {
       throw new BadRequest("unknown class");
     }
     boolean safe = type.repeat() == Repeat.SAFE;
@@ -115,6 +116,13 @@
     return new Request(id, type, plan, customer, (int) spread, units, giveUpMs);
   }
 
+  /** The path and query, also where the request names its target in absolute form. */
+  static String path(String uri) {
+    int scheme = uri.regionMatches(true, 0, HTTP, 0, HTTP.length()) ? HTTP.length() : -1;
+    int slash = scheme < 0 ? 0 : uri.indexOf('/', scheme);
+    return slash <= 0 ? uri : uri.substring(slash);
+  }
+
   private static String firstPart(String uri) throws BadRequest {
     for (int i = 0; i < uri.length(); i++) {
       if (uri.charAt(i) <= ' ' || uri.charAt(i) > '~') {
--- a/src/main/java/willowdoor/net/Transport.java
+++ b/src/main/java/willowdoor/net/Transport.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.IoHandlerFactory;
+import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.epoll.Epoll;
 import io.netty.channel.epoll.EpollChannelOption;
 import io.netty.channel.epoll.EpollIoHandler;
@@ -33,6 +34,8 @@
       : new Transport(NioIoHandler.newFactory(), NioSocketChannel.class, NioServerSocketChannel.class,
           NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT));
 
+  /** What one side of a large body or answer may have waiting before the other stops reading. */
+  static final WriteBufferWaterMark FEW_WAITING = new WriteBufferWaterMark(16 * 1024, 32 * 1024);
   private static final Logger LOG = Logger.getLogger(Transport.class.getName());
   /** Bytes of the longest address, as Netty encodes it, and of its length. */
   private static final int MOST_ADDRESS = 26;
--- /dev/null
+++ b/src/test/java/willowdoor/net/PassingTest.java
@@ -0,0 +1,262 @@
+package willowdoor.net;
+
+import static org.junit.jupiter.api.Assertions.assertArrayEquals;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.util.Arrays;
+import java.util.Random;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import willowdoor.net.Peers.Client;
+import willowdoor.net.Peers.Message;
+
+/** Bodies and answers that are too large to be held, slow ones, and the forms of HTTP/1.1. */
+@Timeout(60)
+class PassingTest {
+
+  private static final int LARGE = 20 << 20;
+
+  private final Peers peers = new Peers();
+
+  @AfterEach
+  void close() throws Exception {
+    peers.close();
+  }
+
+  private static byte[] bytes(int size) {
+    byte[] bytes = new byte[size];
+    new Random(size).nextBytes(bytes);
+    return bytes;
+  }
+
+  private static void writeChunked(OutputStream out, byte[] body, String trailer) throws IOException {
+    for (int at = 0; at < body.length; at += 30_000) {
+      byte[] chunk = Arrays.copyOfRange(body, at, Math.min(body.length, at + 30_000));
+      Peers.write(out, Integer.toHexString(chunk.length) + ";ext=1\r\n");
+      out.write(chunk);
+      Peers.write(out, "\r\n");
+    }
+    Peers.write(out, "0\r\n" + trailer + "\r\n");
+  }
+
+  @Test
+  void largeAnswersPassUnchanged() throws Exception {
+    peers.start();
+    byte[] body = bytes(LARGE);
+    Client client = peers.client();
+    peers.answer = (request, out) -> {
+      Peers.write(out, "HTTP/1.1 200 OK\r\nContent-Length: " + body.length + "\r\n\r\n");
+      out.write(body);
+      return true;
+    };
+    assertArrayEquals(body, client.ask(Peers.get("r1", 3000)).body());
+    peers.answer = (request, out) -> {
+      Peers.write(out, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+      writeChunked(out, body, "X-Sum: 1\r\n");
+      return true;
+    };
+    assertArrayEquals(body, client.ask(Peers.get("r2", 3000)).body());
+    assertEquals(2, peers.atBackend.size());
+  }
+
+  @Test
+  void largeBodiesPassUnchanged() throws Exception {
+    peers.start();
+    byte[] body = bytes(LARGE);
+    Client client = peers.client();
+    client.send(Peers.post("r1", "").replace("Length: 0", "Length: " + body.length));
+    client.socket.getOutputStream().write(body);
+    assertEquals(200, client.receive().status());
+    assertArrayEquals(body, Peers.next(peers.atBackend).body());
+    client.send(Peers.post("r2", "").replace("Content-Length: 0", "Transfer-Encoding: chunked"));
+    writeChunked(client.socket.getOutputStream(), body, "X-Sum: 1\r\n");
+    assertEquals(200, client.receive().status());
+    assertArrayEquals(body, Peers.next(peers.atBackend).body());
+  }
+
+  /** Otherwise the whole answer would lie here for as long as its client likes. */
+  @Test
+  void aClientThatDoesNotReadStopsItsBackend() throws Exception {
+    peers.start();
+    AtomicLong written = new AtomicLong();
+    int size = 64 << 20;
+    byte[] piece = bytes(1 << 16);
+    peers.answer = (request, out) -> {
+      Peers.write(out, "HTTP/1.1 200 OK\r\nContent-Length: " + size + "\r\n\r\n");
+      for (int i = 0; i < size / piece.length; i++) {
+        out.write(piece);
+        written.addAndGet(piece.length);
+      }
+      return true;
+    };
+    Client client = peers.client();
+    client.send(Peers.get("r1", 3000));
+    for (long before = -1; written.get() == 0 || written.get() > before; TimeUnit.MILLISECONDS.sleep(500)) {
+      before = written.get();
+    }
+    assertTrue(written.get() < size / 2, "the kernel's buffers hold " + written);
+    assertEquals(size, client.receive().body().length);
+    assertEquals(200, peers.client().ask(Peers.get("r2", 3000).replace("r2", "next")).status());
+  }
+
+  /** Its bytes tell that it is not whole, and no second answer follows a first part. */
+  @Test
+  void anAnswerThatBreaksIsSeenToBeBroken() throws Exception {
+    peers.start();
+    for (String framing : new String[] {"Content-Length: 1000000", "Transfer-Encoding: chunked"}) {
+      peers.answer = (request, out) -> {
+        Peers.write(out, "HTTP/1.1 200 OK\r\n" + framing + "\r\n\r\n");
+        Peers.write(out, "30000\r\n" + "x".repeat(0x30000) + "\r\n");
+        return false;
+      };
+      assertThrows(IOException.class, () -> peers.client().ask(Peers.get("r1", 3000)));
+      Peers.next(peers.atBackend);
+      assertNull(peers.atBackend.poll(300, TimeUnit.MILLISECONDS), "no further attempt");
+    }
+  }
+
+  /** Slow is not broken: time-outs go by progress, and the deadline ends with the first bytes. */
+  @Test
+  void answersInSlowPiecesAreServed() throws Exception {
+    peers.start();
+    AtomicInteger asked = new AtomicInteger();
+    for (String framing : new String[] {"Content-Length: 8", "Transfer-Encoding: chunked"}) {
+      peers.answer = (request, out) -> {
+        asked.incrementAndGet();
+        Peers.write(out, "HTTP/1.1 200 OK\r\n" + framing + "\r\n\r\n");
+        boolean chunked = framing.startsWith("T");
+        for (int i = 0; i < 8; i++) {
+          pause(100);
+          Peers.write(out, chunked ? "1\r\nx\r\n" : "x");
+        }
+        return Peers.write(out, chunked ? "0\r\n\r\n" : "");
+      };
+      assertEquals("xxxxxxxx", peers.client().ask(Peers.get("r1", 3000)).text());
+    }
+    assertEquals(2, asked.get());
+  }
+
+  /** What has been handed on is gone: the client can send it again, the front door cannot. */
+  @Test
+  void aBodyThatWasHandedOnIsNotSentAgain() throws Exception {
+    AtomicInteger asked = new AtomicInteger();
+    int port = peers.listen(50, (in, out, socket) -> {
+      asked.incrementAndGet();
+      in.readNBytes(200_000);
+      socket.close();
+    }).getLocalPort();
+    peers.start(peers.config(Peers.entry("s-1", port, "active")));
+    Client client = peers.client();
+    client.send(Peers.post("r1", "").replace("Length: 0", "Length: 1000000") + "x".repeat(300_000));
+    Message answer = client.receive();
+    assertEquals(503, answer.status(), "it has never run");
+    assertEquals("close", answer.header("Connection"));
+    assertEquals(1, asked.get());
+  }
+
+  @Test
+  void aBodyThatStopsIsEndedAndRunsNowhere() throws Exception {
+    peers.start();
+    Client client = peers.client();
+    client.send(Peers.post("r1", "").replace("Length: 0", "Length: 1000000") + "x".repeat(100_000));
+    assertEquals(408, client.receive().status());
+    assertTrue(peers.atBackend.isEmpty());
+    assertEquals(200, peers.client().ask(Peers.get("r2", 3000)).status());
+  }
+
+  /** 64 kB a second are allowed, for as long as that takes; the time for the answer counts from its end. */
+  @Test
+  void aSlowBodyIsTaken() throws Exception {
+    peers.start();
+    Client client = peers.client();
+    client.send(Peers.post("r1", "").replace("Length: 0", "Length: 400000").replace(": 3000", ": 1000"));
+    for (int i = 0; i < 40; i++) {
+      client.send("x".repeat(10_000));
+      TimeUnit.MILLISECONDS.sleep(100);
+    }
+    assertEquals(200, client.receive().status());
+    assertEquals(400_000, Peers.next(peers.atBackend).body().length);
+  }
+
+  @Test
+  void aClientThatAsksWhetherToSendItsBodyIsTold() throws Exception {
+    peers.start();
+    Client client = peers.client();
+    for (int size : new int[] {5, 100_000}) {
+      client.send(Peers.post("r" + size, "").replace("Content-Length: 0",
+          "Expect: 100-continue\r\nContent-Length: " + size));
+      assertEquals(100, client.receive().status());
+      assertEquals(200, client.ask("x".repeat(size)).status());
+      assertEquals(size, Peers.next(peers.atBackend).body().length);
+    }
+  }
+
+  @Test
+  void olderClientsAndWholeTargetsAreServed() throws Exception {
+    peers.start();
+    Message old = peers.client().ask(Peers.get("r1", 3000).replace("HTTP/1.1", "HTTP/1.0"));
+    assertEquals("fine", old.text());
+    assertEquals("close", old.header("Connection"));
+    Client kept = peers.client();
+    Message keeps = kept.ask(Peers.get("r2", 3000).replace("HTTP/1.1\r\n",
+        "HTTP/1.0\r\nConnection: keep-alive\r\n"));
+    assertEquals("keep-alive", keeps.header("Connection"));
+    assertEquals(200, kept.ask(Peers.get("r3", 3000).replace("GET /", "GET http://backend.local/")).status());
+    Peers.next(peers.atBackend);
+    Peers.next(peers.atBackend);
+    assertEquals("GET /quote/17?a=%20b&c HTTP/1.1", Peers.next(peers.atBackend).firstLine());
+  }
+
+  /** The end of the connection is the end of the answer there, so a break must not look like one. */
+  @Test
+  void anOlderClientSeesWhereALargeAnswerEnds() throws Exception {
+    peers.start();
+    CountDownLatch read = new CountDownLatch(1);
+    String ask = Peers.get("r1", 3000).replace("HTTP/1.1", "HTTP/1.0");
+    byte[] body = bytes(200_000);
+    peers.answer = (request, out) -> {
+      Peers.write(out, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+      writeChunked(out, body, "");
+      return true;
+    };
+    Client whole = peers.client();
+    assertNull(whole.ask(ask).header("Transfer-Encoding"));
+    assertEquals(body.length, whole.rest());
+    peers.answer = (request, out) -> {
+      Peers.write(out, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+      Peers.write(out, "30000\r\n" + "x".repeat(0x30000) + "\r\n");
+      pause(read);
+      return false;
+    };
+    Client broken = peers.client();
+    broken.ask(ask);
+    read.countDown();
+    assertThrows(IOException.class, () -> broken.rest());
+  }
+
+  private static void pause(CountDownLatch until) throws IOException {
+    try {
+      until.await(10, TimeUnit.SECONDS);
+    } catch (InterruptedException e) {
+      throw new IOException(e);
+    }
+  }
+
+  private static void pause(long ms) throws IOException {
+    try {
+      TimeUnit.MILLISECONDS.sleep(ms);
+    } catch (InterruptedException e) {
+      throw new IOException(e);
+    }
+  }
+}
--- a/src/test/java/willowdoor/net/Peers.java
+++ b/src/test/java/willowdoor/net/Peers.java
@@ -291,6 +291,9 @@
       head.append(l).append("\r\n");
     }
     Message bare = new Message(head.toString(), new byte[0]);
+    if ("chunked".equals(bare.header("Transfer-Encoding"))) {
+      return new Message(bare.head(), chunks(in));
+    }
     String length = bare.header("Content-Length");
     byte[] body = in.readNBytes(length == null ? 0 : Integer.parseInt(length));
     if (length != null && body.length < Integer.parseInt(length)) {
@@ -299,6 +302,21 @@
     return new Message(bare.head(), body);
   }
 
+  private static byte[] chunks(InputStream in) throws IOException {
+    ByteArrayOutputStream body = new ByteArrayOutputStream();
+    for (int size = Integer.parseInt(line(in), 16); size > 0; size = Integer.parseInt(line(in), 16)) {
+      byte[] chunk = in.readNBytes(size);
+      if (chunk.length < size || !line(in).isEmpty()) {
+        throw new EOFException("chunk was cut");
+      }
+      body.write(chunk);
+    }
+    while (!line(in).isEmpty()) {
+      // A trailer.
+    }
+    return body.toByteArray();
+  }
+
   private static String line(InputStream in) throws IOException {
     ByteArrayOutputStream bytes = new ByteArrayOutputStream();
     for (int b = in.read(); b != '\n'; b = in.read()) {
@@ -336,6 +354,11 @@
       return receive();
     }
 
+    /** Reads all that follows up to the end of the connection; gives how much it was. */
+    int rest() throws IOException {
+      return in.readAllBytes().length;
+    }
+
     /** True when nothing more comes and the connection ends. */
     boolean ended() throws IOException {
       try {
