Serve answers that end with their connection where they announce it

An answer with Connection: close and no length is whole when its connection ends in order, and broken when it is reset; the decoder takes both for its end, so the reset is noted first.

A large body whose first backend was not reached lost what was still to come, as an attempt without a connection ended the handing on; a test sends one past two dead backends.

--- a/src/main/java/willowdoor/net/BackendConnection.java
+++ b/src/main/java/willowdoor/net/BackendConnection.java
@@ -57,6 +57,8 @@
   private ByteBuf body;
   private boolean whole;
   private int ahead;
+  /** The connection broke: its end is no answer's end. */
+  private boolean reset;
   /** More has come than the one answer. */
   private boolean overfull;
   /** Ends an answer that stops half way; and when the last of it came. */
@@ -163,11 +165,11 @@
   }
 
   private void begin(HttpResponse answer) {
-    boolean framed = HttpUtil.isContentLengthSet(answer) || HttpUtil.isTransferEncodingChunked(answer);
     boolean informational = answer.status().codeClass() == HttpStatusClass.INFORMATIONAL;
     long length = HttpUtil.getContentLength(answer, 0L);
-    if (informational ? ++ahead > MOST_AHEAD : !framed || length > MOST_PASSED) {
-      // Without a length the end of the connection is the end of the body, and a cut would look like it.
+    // Where no length is told the end of the connection is the end of the body, if that is announced.
+    boolean ends = framed(answer) || !HttpUtil.isKeepAlive(answer);
+    if (informational ? ++ahead > MOST_AHEAD : !ends || length > MOST_PASSED) {
       spoilt();
     } else {
       head = answer;
@@ -179,7 +181,15 @@
     }
   }
 
+  private static boolean framed(HttpResponse answer) {
+    return HttpUtil.isContentLengthSet(answer) || HttpUtil.isTransferEncodingChunked(answer);
+  }
+
   private void add(HttpContent content) {
+    if (reset && content instanceof LastHttpContent && !framed(head)) {
+      // The decoder takes any end of the connection for the answer's.
+      return;
+    }
     if (!current.begun() && body.readableBytes() + content.content().readableBytes() > MOST_HELD) {
       passOn();
     }
@@ -247,7 +257,7 @@
       return;
     }
     // Where no length is told the answer may be one of those whose first bytes are waited for.
-    if (!current.begun() && head != null && body != null && HttpUtil.isTransferEncodingChunked(head)
+    if (!current.begun() && head != null && body != null && !HttpUtil.isContentLengthSet(head)
         && current.written && status(head) == Status.OK) {
       passOn();
     }
@@ -339,6 +349,7 @@
   /** A reset or a fault of ours: this connection is of no more use. */
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+    reset = true;
     ctx.close();
   }
 }
--- a/src/main/java/willowdoor/net/Body.java
+++ b/src/main/java/willowdoor/net/Body.java
@@ -111,7 +111,7 @@
 
   /** The sink has ended: what is still to come goes nowhere. */
   void leave(Sink from) {
-    if (sink == from) {
+    if (sink != null && sink == from) {
       sink = null;
       dropped = true;
     }
--- a/src/test/java/willowdoor/net/PassingTest.java
+++ b/src/test/java/willowdoor/net/PassingTest.java
@@ -125,6 +125,30 @@
     }
   }
 
+  /** Announced, the end of a connection is the end of the answer; a reset is the end of none. */
+  @Test
+  void anAnswerMayEndWithItsConnection() throws Exception {
+    peers.start();
+    int n = 0;
+    for (int size : new int[] {0, 9, 300_000}) {
+      peers.answer = (request, out) -> {
+        Peers.write(out, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + "x".repeat(size));
+        return false;
+      };
+      assertEquals(size, peers.client().ask(Peers.get("r" + n++, 3000)).body().length);
+    }
+    assertEquals(3, peers.atBackend.size());
+    int port = peers.listen(50, (in, out, socket) -> {
+      Peers.read(in);
+      Peers.write(out, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart");
+      pause(50);
+      socket.setSoLinger(true, 0);
+      socket.close();
+    }).getLocalPort();
+    peers.start(peers.config(Peers.entry("s-2", port, "active")));
+    assertTrue(peers.client().ask(Peers.get("r9", 3000)).status() != 200);
+  }
+
   /** Slow is not broken: time-outs go by progress, and the deadline ends with the first bytes. */
   @Test
   void answersInSlowPiecesAreServed() throws Exception {
@@ -164,6 +188,23 @@
     assertEquals(1, asked.get());
   }
 
+  /** What never reached a backend is all there, and goes to another one with the rest. */
+  @Test
+  void aLargeBodyOutlivesABackendThatIsNotReached() throws Exception {
+    int gone = peers.listen(50, (in, out, socket) -> { }).getLocalPort();
+    peers.start(peers.config(Peers.entry("s-1", peers.backend.getLocalPort(), "active"),
+        Peers.entry("s-2", gone, "active"), Peers.entry("s-3", gone, "active")));
+    peers.closeListeners(gone);
+    byte[] body = bytes(1 << 20);
+    for (int i = 0; i < 10; i++) {
+      Client client = peers.client();
+      client.send(Peers.post("r" + i, "").replace("Length: 0", "Length: " + body.length));
+      client.socket.getOutputStream().write(body);
+      assertEquals(200, client.receive().status());
+      assertArrayEquals(body, Peers.next(peers.atBackend).body());
+    }
+  }
+
   @Test
   void aBodyThatStopsIsEndedAndRunsNowhere() throws Exception {
     peers.start();
--- a/src/test/java/willowdoor/net/Peers.java
+++ b/src/test/java/willowdoor/net/Peers.java
@@ -118,6 +118,15 @@
     }
   }
 
+  /** Ends what listens on that port; who connects is refused from then on. */
+  void closeListeners(int port) throws IOException {
+    for (Closeable c : open) {
+      if (c instanceof ServerSocket server && server.getLocalPort() == port) {
+        server.close();
+      }
+    }
+  }
+
   private interface Work {
     void run() throws IOException;
   }
