Share descriptors between the two processes of an upgrade, and bound what is handed through

A lock held from the start on tells a process of another beside it; both then go by half of the descriptors, where before each took all for its own. Reads are of 32 KiB at most and requests are refused beyond an eighth of the memory in transfers, so that buffers that wait for slow clients cannot reach the bound on direct memory, which would cut answers off.

--- a/src/main/java/willowdoor/net/Bounds.java
+++ b/src/main/java/willowdoor/net/Bounds.java
@@ -2,9 +2,10 @@
 
 /**
  * What the process may hold, from the limits that its configuration tells. Descriptors that run out take
- * the whole process down (a class that loads late, a log line), so all kinds of sockets get fitting parts.
+ * the whole process down (a class that loads late, a log line), so all kinds of sockets get fitting parts;
+ * smaller ones while a second process beside this one has the same limits, as in an upgrade.
  */
-record Bounds(int places, int bodyBytes, double cores) {
+record Bounds(int places, int placesBeside, int bodyBytes, int passing, double cores) {
 
   /** Descriptors of the JVM and of the event loop: its files, the jar, epoll, timer and event descriptors. */
   private static final int OWN = 24;
@@ -16,9 +17,14 @@
   static final double USUAL_MEMORY_MB = 128;
   static final double USUAL_CORES = 1;
   private static final double BODY_PART = 1.0 / 16;
+  /** For bodies and answers that are handed through; each has so much waiting or being read at most. */
+  private static final double PASSING_PART = 1.0 / 8;
+  private static final int PASSING_BYTES = 64 * 1024;
 
   static Bounds of(double sockets, double memoryMb, double cores) {
     return new Bounds(Math.max(16, (int) sockets - OWN - PEERS - OperatorsDoor.DESCRIPTORS - MARGIN),
-        (int) (memoryMb * BODY_PART * (1 << 20)), cores);
+        Math.max(16, (int) sockets / 2 - OWN - PEERS / 2 - OperatorsDoor.DESCRIPTORS),
+        (int) (memoryMb * BODY_PART * (1 << 20)), (int) (memoryMb * PASSING_PART * (1 << 20) / PASSING_BYTES),
+        cores);
   }
 }
--- a/src/main/java/willowdoor/net/ClientServer.java
+++ b/src/main/java/willowdoor/net/ClientServer.java
@@ -69,6 +69,7 @@
         .option(Transport.BEST.reusePort(), true)
         .childOption(ChannelOption.TCP_NODELAY, true)
         .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, Transport.FEW_WAITING)
+        .childOption(ChannelOption.RECVBUF_ALLOCATOR, Transport.smallReads())
         .childHandler(new ChannelInitializer<Channel>() {
           @Override
           protected void initChannel(Channel channel) {
@@ -160,7 +161,7 @@
 
   /** With so much held requests are refused, so that the process stays within its memory. */
   boolean full() {
-    return held >= bounds.bodyBytes();
+    return held >= bounds.bodyBytes() || driver.passing() >= bounds.passing();
   }
 
   boolean crowded() {
--- a/src/main/java/willowdoor/net/FrontDoor.java
+++ b/src/main/java/willowdoor/net/FrontDoor.java
@@ -24,6 +24,8 @@
   /** A longer deadline counts as this there. */
   private static final double MOST_DEADLINE_MS = 3_000;
   private static final long POLL_MS = 10;
+  /** How often it is looked whether another process has started beside this one. */
+  private static final long BESIDE_MS = 500;
 
   private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, Transport.BEST.ioHandler());
   final EventLoop loop = group.next();
@@ -35,14 +37,16 @@
   private CounterClient counter;
   private DiscoveryClient discovery;
   private final Lifecycle lifecycle = new Lifecycle(clock);
-  private final Handover handover;
+  private final Handover started;
+  private final Handover serving;
   private OperatorsDoor operators;
   private Channel listening;
   /** The one in use. */
   private volatile Config config;
 
   private FrontDoor(Path shared) {
-    handover = new Handover(shared);
+    started = new Handover(shared, "started");
+    serving = new Handover(shared, "serving");
   }
 
   /** Reads the configuration that the environment names, and serves until the process is told to end. */
@@ -76,6 +80,7 @@
     FrontDoor door = new FrontDoor(shared);
     door.config = config;
     try {
+      door.started.enter();
       door.openForOperators(config);
       door.loop.submit(() -> door.wire(config)).sync();
       beforeListening.of(door);
@@ -87,7 +92,7 @@
       door.stop();
       throw new IOException("cannot listen on " + config.listen() + ": " + e.getMessage(), e);
     }
-    door.handover.serving();
+    door.serving.enter();
     door.lifecycle.started();
     return door;
   }
@@ -122,6 +127,8 @@
 
   private void wire(Config config) {
     Places places = new Places(config.limits().places());
+    loop.scheduleWithFixedDelay(() -> places.beside(started.another() ? config.limits().placesBeside() : 0),
+        0, BESIDE_MS, TimeUnit.MILLISECONDS);
     BackendPool backends = new BackendPool(loop, clock, Dialer.sockets(loop, config.connectLimitMs()),
         config.idleLimitMs(), places);
     QuotaPolicy policy = new QuotaPolicy(config.settings(), config.seed());
@@ -166,7 +173,7 @@
     lifecycle.end();
     long answerMs = ANSWER_MS + (long) Math.min(MOST_DEADLINE_MS,
         config.settings().classes().stream().mapToDouble(RequestClass::deadlineMs).max().orElse(0));
-    long acceptMs = handover.otherServes() ? 0 : ACCEPT_MS;
+    long acceptMs = serving.another() ? 0 : ACCEPT_MS;
     loop.schedule(clients::stopAccepting, acceptMs, TimeUnit.MILLISECONDS);
     loop.scheduleWithFixedDelay(() -> {
       if (clients.idle()) {
--- a/src/main/java/willowdoor/net/Handover.java
+++ b/src/main/java/willowdoor/net/Handover.java
@@ -9,8 +9,9 @@
 import java.util.logging.Logger;
 
 /**
- * Whether another process serves at the same address, as while one is upgraded. Each that listens holds a
- * lock in the folder that both share: a lock ends with its holder, while what a file says may be stale.
+ * Whether another process of this front door has come as far as this one, as while one is upgraded. Each
+ * holds a lock in the folder that both share: a lock ends with its holder, while what a file says may be
+ * stale.
  */
 final class Handover {
 
@@ -18,23 +19,27 @@
   private static final int PROCESSES = 2;
 
   private final Path folder;
+  private final String state;
   private int own = -1;
   /** Never closed: the lock lives as long as the process. */
   private FileChannel held;
 
-  Handover(Path folder) {
+  /** The state is what the lock stands for: that a process has started, say, or that it serves. */
+  Handover(Path folder, String state) {
     this.folder = folder;
+    this.state = state;
   }
 
-  /** Tells other processes from now on that this one serves. */
-  void serving() {
+  /** Tells other processes from now on that this one is in the state. */
+  void enter() {
     for (int place = 0; place < PROCESSES && own < 0; place++) {
       held = take(place);
       own = held == null ? -1 : place;
     }
   }
 
-  boolean otherServes() {
+  /** Whether another process is in the state; only a process that is in it itself can tell. */
+  boolean another() {
     boolean other = false;
     for (int place = 0; place < PROCESSES && own >= 0; place++) {
       if (place != own) {
@@ -50,7 +55,7 @@
   private FileChannel take(int place) {
     FileChannel file = null;
     try {
-      file = FileChannel.open(folder.resolve("serving-" + place), StandardOpenOption.CREATE,
+      file = FileChannel.open(folder.resolve(state + "-" + place), StandardOpenOption.CREATE,
           StandardOpenOption.WRITE);
       FileLock lock = file.tryLock();
       if (lock != null) {
--- a/src/main/java/willowdoor/net/Places.java
+++ b/src/main/java/willowdoor/net/Places.java
@@ -12,14 +12,21 @@
   /** Clients hold a third of all descriptors at most for requests, each with one attempt out. */
   private static final double MOST_FOR_BACKENDS = 0.44;
 
-  private final int all;
+  private final int alone;
+  private int all;
   private int clients;
   private int backends;
 
   Places(int all) {
+    this.alone = all;
     this.all = all;
   }
 
+  /** So many there are while another process has its part of the descriptors; 0: there is none. */
+  void beside(int places) {
+    all = places > 0 ? Math.min(alone, places) : alone;
+  }
+
   void client(int change) {
     clients += change;
   }
--- a/src/main/java/willowdoor/net/Transport.java
+++ b/src/main/java/willowdoor/net/Transport.java
@@ -1,9 +1,11 @@
 package willowdoor.net;
 
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.IoHandlerFactory;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.epoll.Epoll;
 import io.netty.channel.epoll.EpollChannelOption;
@@ -52,6 +54,11 @@
     }
   }
 
+  /** Reads of up to 32 KiB, so that what waits to be written keeps no larger buffers from being freed. */
+  static RecvByteBufAllocator smallReads() {
+    return new AdaptiveRecvByteBufAllocator(1_024, 2_048, 32 * 1_024);
+  }
+
   /**
    * Has all connections accepted that wait by now. Guards against the reset of those that a listening socket
    * leaves behind when it closes. Harm: none; what comes between the last of them and the close is lost all
--- a/src/test/java/willowdoor/net/HandoverTest.java
+++ b/src/test/java/willowdoor/net/HandoverTest.java
@@ -69,12 +69,25 @@
   @Test
   void whatOthersLeftBehindIsNoProcess() throws Exception {
     Files.writeString(folder.resolve("serving-0"), "junk of one that was kil");
-    Handover first = new Handover(folder);
-    first.serving();
-    assertFalse(first.otherServes());
-    Handover second = new Handover(folder);
-    second.serving();
-    assertTrue(first.otherServes());
-    assertTrue(second.otherServes());
+    Handover first = new Handover(folder, "serving");
+    first.enter();
+    assertFalse(first.another());
+    Handover second = new Handover(folder, "serving");
+    second.enter();
+    assertTrue(first.another());
+    assertTrue(second.another());
+  }
+
+  /** Both together are held to the limits of one, and the one that stays has them to itself again. */
+  @Test
+  void twoProcessesShareTheDescriptors() {
+    Bounds limits = Bounds.of(384, 144, 0.3);
+    Places places = new Places(limits.places());
+    int alone = places.mostClients();
+    places.beside(limits.placesBeside());
+    assertTrue(places.mostClients() <= alone / 2, places.mostClients() + " of " + alone);
+    assertTrue(2 * limits.placesBeside() < 384);
+    places.beside(0);
+    assertEquals(alone, places.mostClients());
   }
 }
