--- a/src/test/java/willowdoor/net/PassingTest.java
+++ b/src/test/java/willowdoor/net/PassingTest.java
@@ -9,6 +9,7 @@
 import java.io.IOException;
 import java.io.OutputStream;
 import java.util.Arrays;
+import java.util.Locale;
 import java.util.Random;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -258,6 +259,35 @@
     assertEquals("GET /quote/17?a=%20b&c HTTP/1.1", Peers.next(peers.atBackend).firstLine());
   }
 
+  /** Forms that one reader can take in one way only, whole and byte by byte, one behind another. */
+  @Test
+  void theFormsOfARequestAreRead() throws Exception {
+    peers.start();
+    String get = Peers.get("r1", 3000);
+    String post = Peers.post("r1", "").replace("Content-Length: 0", "Transfer-Encoding: chunked");
+    int n = 0;
+    for (String form : new String[] {get, "\r\n" + get, get.toLowerCase(Locale.ROOT)
+            .replace("get /", "GET /").replace("http/1.1", "HTTP/1.1"),
+        get.replace(": ", ":\t "), get.replace("Host: backend.local\r\n", "").replace("HTTP/1.1", "HTTP/1.0"),
+        get.replace("X-Plan", "Connection: Keep-Alive, TE\r\nTE: trailers\r\nX-Plan"),
+        get.replace("X-Plan", "Content-Length: 0\r\nX-Plan"),
+        get.replace("GET /", "GET http://backend.local:80/"),
+        post + "0\r\n\r\n", post + "3;a=\"b;c\"\r\nabc\r\n0\r\n\r\n", post + "0003\r\nabc\r\n0000\r\n\r\n",
+        post + "A\r\n0123456789\r\n0\r\nX-Sum: 1\r\nX-More: 2\r\n\r\n",
+        post.replace("chunked", "Chunked") + "1\r\na\r\n0\r\n\r\n"}) {
+      Client client = peers.client();
+      client.send(form.replaceAll("(?i)(request-id:\\s*)r1", "$1a" + n));
+      assertEquals(200, client.receive().status(), form);
+      assertEquals("a" + n++, Peers.next(peers.atBackend).header("Request-Id"));
+      Client slow = peers.client();
+      for (char c : form.replaceAll("(?i)(request-id:\\s*)r1", "$1a" + n).toCharArray()) {
+        slow.send(String.valueOf(c));
+      }
+      assertEquals(200, slow.receive().status(), form);
+      assertEquals("a" + n++, Peers.next(peers.atBackend).header("Request-Id"));
+    }
+  }
+
   /** The end of the connection is the end of the answer there, so a break must not look like one. */
   @Test
   void anOlderClientSeesWhereALargeAnswerEnds() throws Exception {
