Keep the kernel's send buffers small, so that a slow reader is not taken for a stuck one

Where a client reads 64 kB a second, the kernel would tell of room only after a third of a buffer of megabytes had gone: the client looked stuck for over 10 s and its answer would have been cut off. Seen with many clients that read little of a large answer for a while: 150 of 250 were cut. Buffers are now 128 KiB, and a client counts as gone after 30 s without taking anything. With 120 that read on after 3 s all got all, 8 MB in direct buffers.

No test without a clock of minutes shows it; it serves the rule on lost requests.

--- a/src/main/java/willowdoor/net/ClientConnection.java
+++ b/src/main/java/willowdoor/net/ClientConnection.java
@@ -52,7 +52,7 @@
   private static final double BODY_BYTES_PER_MS = 60;
   private static final long MOST_BODY = 32L << 20;
   /** Who has taken nothing of an answer, or of a body, for so long is not there any more. */
-  private static final double STUCK_MS = 10_000;
+  private static final double STUCK_MS = 30_000;
   /** Between requests a connection may be ended after this, if another wants its place. */
   private static final double EVICT_MS = 2_050;
   /** One with no whole request in so long goes sooner: clients connect in order to ask, and ask at once. */
--- a/src/main/java/willowdoor/net/ClientServer.java
+++ b/src/main/java/willowdoor/net/ClientServer.java
@@ -69,6 +69,7 @@
         .option(Transport.BEST.reusePort(), true)
         .childOption(ChannelOption.TCP_NODELAY, true)
         .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, Transport.FEW_WAITING)
+        .childOption(ChannelOption.SO_SNDBUF, Transport.FEW_SENT)
         .childOption(ChannelOption.RECVBUF_ALLOCATOR, Transport.smallReads())
         .childHandler(new ChannelInitializer<Channel>() {
           @Override
--- a/src/main/java/willowdoor/net/Dialer.java
+++ b/src/main/java/willowdoor/net/Dialer.java
@@ -18,6 +18,7 @@
     Bootstrap bootstrap = new Bootstrap().group(loop).channel(Transport.BEST.socket())
         .option(ChannelOption.TCP_NODELAY, true)
         .option(ChannelOption.WRITE_BUFFER_WATER_MARK, Transport.FEW_WAITING)
+        .option(ChannelOption.SO_SNDBUF, Transport.FEW_SENT)
         .option(ChannelOption.RECVBUF_ALLOCATOR, Transport.smallReads())
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.ceil(limitMs));
     return (address, handler) -> bootstrap.clone().handler(handler).connect(address);
--- a/src/main/java/willowdoor/net/Transport.java
+++ b/src/main/java/willowdoor/net/Transport.java
@@ -38,6 +38,12 @@
 
   /** What one side of a large body or answer may have waiting before the other stops reading. */
   static final WriteBufferWaterMark FEW_WAITING = new WriteBufferWaterMark(16 * 1024, 32 * 1024);
+  /**
+   * What the kernel may hold of it for a peer that reads slowly. It tells of room only when a third has gone,
+   * and lets the buffer grow to megabytes by itself: at 64 kB a second a peer that reads all the time would
+   * look stuck for a quarter of a minute.
+   */
+  static final int FEW_SENT = 128 * 1024;
   private static final Logger LOG = Logger.getLogger(Transport.class.getName());
   /** Bytes of the longest address, as Netty encodes it, and of its length. */
   private static final int MOST_ADDRESS = 26;
