Take what bars a lock for no process; read operators' targets in absolute form too

A folder left where a lock's file belongs would have looked like a second process for good: half of the descriptors, and a listener closed at SIGTERM with nobody beside it.

--- a/src/main/java/willowdoor/net/Handover.java
+++ b/src/main/java/willowdoor/net/Handover.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.nio.channels.FileChannel;
-import java.nio.channels.FileLock;
 import java.nio.channels.OverlappingFileLockException;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
@@ -33,8 +32,12 @@
   /** Tells other processes from now on that this one is in the state. */
   void enter() {
     for (int place = 0; place < PROCESSES && own < 0; place++) {
-      held = take(place);
-      own = held == null ? -1 : place;
+      try {
+        held = take(place);
+        own = held == null ? -1 : place;
+      } catch (IOException e) {
+        LOG.warning("cannot lock in " + folder + ": " + e.getMessage());
+      }
     }
   }
 
@@ -43,28 +46,36 @@
     boolean other = false;
     for (int place = 0; place < PROCESSES && own >= 0; place++) {
       if (place != own) {
-        FileChannel free = take(place);
-        other |= free == null;
-        release(free);
+        other |= taken(place);
       }
     }
     return other;
   }
 
-  /** The locked file, or null where another holds it or there is none to be had. */
-  private FileChannel take(int place) {
-    FileChannel file = null;
+  /** What cannot be locked for another cause than a lock is nobody's. */
+  private boolean taken(int place) {
+    try {
+      FileChannel free = take(place);
+      release(free);
+      return free == null;
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
+  /** The locked file, or null where another holds it. */
+  private FileChannel take(int place) throws IOException {
+    FileChannel file = FileChannel.open(folder.resolve(state + "-" + place), StandardOpenOption.CREATE,
+        StandardOpenOption.WRITE);
     try {
-      file = FileChannel.open(folder.resolve(state + "-" + place), StandardOpenOption.CREATE,
-          StandardOpenOption.WRITE);
-      FileLock lock = file.tryLock();
-      if (lock != null) {
+      if (file.tryLock() != null) {
         return file;
       }
     } catch (OverlappingFileLockException e) {
       // Held, by this process.
     } catch (IOException e) {
-      LOG.warning("cannot lock in " + folder + ": " + e.getMessage());
+      release(file);
+      throw e;
     }
     release(file);
     return null;
--- a/src/main/java/willowdoor/net/OperatorsDoor.java
+++ b/src/main/java/willowdoor/net/OperatorsDoor.java
@@ -95,7 +95,7 @@
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest call) {
       HttpResponseStatus status = call.decoderResult().isFailure() ? HttpResponseStatus.BAD_REQUEST
-          : outcome(call.method(), call.uri());
+          : outcome(call.method(), RequestReader.path(call.uri()));
       DefaultFullHttpResponse answer = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status,
           Unpooled.copiedBuffer(lifecycle.state() + "\n", StandardCharsets.US_ASCII));
       answer.headers().set(HttpHeaderNames.CONTENT_LENGTH, answer.content().readableBytes())
--- a/src/test/java/willowdoor/net/HandoverTest.java
+++ b/src/test/java/willowdoor/net/HandoverTest.java
@@ -69,6 +69,10 @@
   @Test
   void whatOthersLeftBehindIsNoProcess() throws Exception {
     Files.writeString(folder.resolve("serving-0"), "junk of one that was kil");
+    Files.createDirectory(folder.resolve("started-0"));
+    Handover barred = new Handover(folder, "started");
+    barred.enter();
+    assertFalse(barred.another(), "what is in the way of a lock is no process either");
     Handover first = new Handover(folder, "serving");
     first.enter();
     assertFalse(first.another());
--- a/src/test/java/willowdoor/net/OperatorsDoorTest.java
+++ b/src/test/java/willowdoor/net/OperatorsDoorTest.java
@@ -107,7 +107,7 @@
     assertEquals(404, peers.operator("GET /up"));
     assertEquals(405, peers.operator("GET /drain"));
     assertEquals(405, peers.operator("POST /ready"));
-    assertEquals(200, peers.operator("POST /undrain"), "it serves already");
+    assertEquals(200, peers.operator("POST http://127.0.0.1/undrain"), "it serves already");
     assertEquals(200, peers.client().ask(UP).status());
   }
 
