Answer what came whole behind a request before a drain ends its connection

Such a request has been taken, but the answer before it ended the connection while draining or in a crowd. Now the last of them does.

--- a/src/main/java/willowdoor/net/ClientConnection.java
+++ b/src/main/java/willowdoor/net/ClientConnection.java
@@ -560,9 +560,10 @@
 
   /** Whether the connection is kept after this answer, which tells the client. */
   private boolean keeps(HttpResponse answer) {
-    // In a crowd a kept connection is a place that another client may not find.
-    boolean keep = keepAlive && !server.draining() && !server.crowded() && !(overrun && waiting.isEmpty())
-        && handled.body.whole();
+    // In a crowd a kept connection is a place that another client may not find. What has come whole behind
+    // this request has been taken, and is answered first.
+    boolean last = (server.draining() || server.crowded() || overrun) && waiting.isEmpty();
+    boolean keep = keepAlive && !last && handled.body.whole();
     if (!keep) {
       answer.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     } else if (!handled.head.protocolVersion().isKeepAliveDefault()) {
--- a/src/test/java/willowdoor/net/OperatorsDoorTest.java
+++ b/src/test/java/willowdoor/net/OperatorsDoorTest.java
@@ -1,6 +1,7 @@
 package willowdoor.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
@@ -68,6 +69,30 @@
     assertTrue(busy.ended());
   }
 
+  /** A request behind another has been taken with it: only the last answer ends the connection. */
+  @Test
+  void whatCameBehindAnotherIsAnsweredToo() throws Exception {
+    peers.start();
+    CountDownLatch drained = new CountDownLatch(1);
+    peers.answer = (request, out) -> {
+      try {
+        drained.await();
+      } catch (InterruptedException e) {
+        return false;
+      }
+      return Peers.write(out, Peers.OK);
+    };
+    Client busy = peers.client();
+    busy.send(Peers.get("r1", 4000) + Peers.get("r2", 4000) + Peers.get("r3", 4000));
+    Peers.next(peers.atBackend);
+    assertEquals(200, peers.operator("POST /drain"));
+    drained.countDown();
+    assertNull(busy.receive().header("Connection"));
+    assertNull(busy.receive().header("Connection"));
+    assertEquals("close", busy.receive().header("Connection"));
+    assertTrue(busy.ended());
+  }
+
   @Test
   void answersWhileTheClientsLoopStandsStill() throws Exception {
     FrontDoor door = peers.start();
