Count an upload as out once its body is whole

An attempt is out from when its request has reached a converter whole. Counted from the first byte it took its customer's place under a cap for as long as the upload lasted, and looked like load.

--- a/src/main/java/willowdoor/QuotaPolicy.java
+++ b/src/main/java/willowdoor/QuotaPolicy.java
@@ -568,6 +568,7 @@
     final int number;
     final Backend backend;
     double sentAt;
+    boolean counted;
 
     Attempt(Job job, int number, Backend backend, double sentAt) {
       this.job = job;
@@ -859,10 +860,8 @@
     job.attempts++;
     job.live = attempt;
     job.lastBackend = b;
-    job.account.out++;
-    outNow++;
     if (!job.coming) {
-      b.out.add(attempt);
+      count(attempt);
     }
     attempts.put(job.request.id() + "#" + attempt.number, attempt);
     out.add(new Send(job.request.id(), b.id, left));
@@ -877,6 +876,14 @@
     }
   }
 
+  /** It is out from now on: the backend has all of its request. */
+  private void count(Attempt attempt) {
+    attempt.counted = true;
+    attempt.job.account.out++;
+    outNow++;
+    attempt.backend.out.add(attempt);
+  }
+
   /** The backend begins only now: neither its time nor the request's has counted until here. */
   private void onBodyWhole(Job job, double giveUpMs) {
     job.coming = false;
@@ -884,7 +891,7 @@
     job.takenAt = now;
     if (job.live != null) {
       job.live.sentAt = now;
-      job.live.backend.out.add(job.live);
+      count(job.live);
     }
   }
 
@@ -907,8 +914,8 @@
     }
     Job job = attempt.job;
     attempt.backend.out.remove(attempt);
-    job.account.out--;
-    outNow -= job.streaming ? 0 : 1;
+    job.account.out -= attempt.counted ? 1 : 0;
+    outNow -= attempt.counted && !job.streaming ? 1 : 0;
     measureWait(attempt, e);
     job.live = job.live == attempt ? null : job.live;
     learn(attempt.backend, attempt, e);
--- a/src/test/java/willowdoor/QuotaPolicyTest.java
+++ b/src/test/java/willowdoor/QuotaPolicyTest.java
@@ -12,6 +12,7 @@
 import willowdoor.GatewayApi.Add;
 import willowdoor.GatewayApi.Allowed;
 import willowdoor.GatewayApi.BackendEntry;
+import willowdoor.GatewayApi.BodyWhole;
 import willowdoor.GatewayApi.Cancel;
 import willowdoor.GatewayApi.ClientLeft;
 import willowdoor.GatewayApi.Counted;
@@ -535,4 +536,32 @@
     f.request("safe", "rated", 4);
     assertTrue(f.did(Refuse.class), "without asking again");
   }
+
+  /** A body that is handed on takes its customer's place at a backend only once all of it is there. */
+  @Test
+  void aRequestIsOutOnceItsBodyIsWhole() {
+    Fixtures f = Fixtures.counted();
+    f.on(new Request("large", Fixtures.type("safe"), "narrow", 42, 2, 1, Double.POSITIVE_INFINITY));
+    Send large = f.only(Send.class);
+    f.request("safe", "narrow", 1);
+    f.outcome(f.only(Send.class), 0, Status.OK, true);
+    f.on(new BodyWhole("large", f.now + 4000));
+    f.request("safe", "narrow", 1);
+    assertTrue(f.did(Refuse.class), "one is out, which is this gateway's part");
+    f.outcome(large, 0, Status.OK, true);
+    f.request("safe", "narrow", 1);
+    assertTrue(f.did(Send.class));
+  }
+
+  /** What was handed on is gone; what never reached a backend can go to another. */
+  @Test
+  void aBodyThatWasHandedOnIsNotSentAgain() {
+    for (Status status : new Status[] {Status.UNREACHABLE, Status.BROKEN}) {
+      Fixtures f = Fixtures.counted();
+      f.on(new Request("large", Fixtures.type("safe"), "free", 42, 2, 1, Double.POSITIVE_INFINITY));
+      f.outcome(f.only(Send.class), 0, status, false);
+      assertEquals(status == Status.UNREACHABLE, f.did(Send.class));
+      assertEquals(status == Status.BROKEN, f.did(Refuse.class));
+    }
+  }
 }
