--- a/src/test/java/willowdoor/net/OperatorsDoorTest.java
+++ b/src/test/java/willowdoor/net/OperatorsDoorTest.java
@@ -44,11 +44,7 @@
     assertEquals(200, back.ask(Peers.get("r3", 3000)).status());
   }
 
-  /** A drain ends with the answer that a request waits for, not before. */
-  @Test
-  void whatWasTakenIsAnsweredWhileDraining() throws Exception {
-    peers.start();
-    CountDownLatch drained = new CountDownLatch(1);
+  private void answerAfter(CountDownLatch drained) {
     peers.answer = (request, out) -> {
       try {
         drained.await();
@@ -57,6 +53,14 @@
       }
       return Peers.write(out, Peers.OK);
     };
+  }
+
+  /** A drain ends with the answer that a request waits for, not before. */
+  @Test
+  void whatWasTakenIsAnsweredWhileDraining() throws Exception {
+    peers.start();
+    CountDownLatch drained = new CountDownLatch(1);
+    answerAfter(drained);
     Client busy = peers.client();
     busy.send(Peers.get("r1", 4000));
     Peers.next(peers.atBackend);
@@ -74,14 +78,7 @@
   void whatCameBehindAnotherIsAnsweredToo() throws Exception {
     peers.start();
     CountDownLatch drained = new CountDownLatch(1);
-    peers.answer = (request, out) -> {
-      try {
-        drained.await();
-      } catch (InterruptedException e) {
-        return false;
-      }
-      return Peers.write(out, Peers.OK);
-    };
+    answerAfter(drained);
     Client busy = peers.client();
     busy.send(Peers.get("r1", 4000) + Peers.get("r2", 4000) + Peers.get("r3", 4000));
     Peers.next(peers.atBackend);
