--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -3,7 +3,8 @@
 # the tests of the front door and of its warm-up load. Without the archive the program runs all the same.
 set -e
 mvn -q -B -DskipTests package
-mvn -q -B surefire:test -Dtest=FrontDoorTest,WarmUpTest "-DargLine=-XX:DumpLoadedClassList=target/classes.lst" &&
+mvn -q -B surefire:test -Dtest=FrontDoorTest,WarmUpTest \
+    "-DargLine=-Djava.net.preferIPv4Stack=true -XX:DumpLoadedClassList=target/classes.lst" &&
   java -Xshare:dump -XX:+UseSerialGC -Xlog:disable -Xlog:all=off -XX:SharedClassListFile=target/classes.lst \
     -XX:SharedArchiveFile=target/willowdoor.jsa -jar target/willowdoor.jar > target/archive.log 2>&1 ||
   echo "no class-data archive: see target/archive.log" >&2
