Open a silent watch anew in time, and take lists that come indented

Found by reading: a watch was taken for silent after 5 s (DiscoveryClient.SILENT_MS), and the watches after it were given 1 s to connect and then 5 s each to say anything; what a silent watch misses counts as told 6 s after it fell silent. The pause between failing watches grew to 2.25 s (MOST_BACKOFF_MS times 1.5), while what the agent has counts as told at once and a drain leaves 1 s. And LineBasedFrameDecoder ended a watch as junk on a list of several lines, for good where all lists come so.

Now a watch is silent after 3 s, one that does not begin within 500 ms of an agent that answers at once is not waited for, and the pause is 300 ms at most. The watch before goes on until the newer tells something, as already at a new address, so that a slow agent is not cut off. Messages are framed as JSON objects by Netty's decoder; part of an object that stays alone for 300 ms ends the watch, since a cut line no longer shows.

The tests time 14 failing watches, two that do not begin, and an indented list cut in two.

--- a/src/main/java/willowdoor/net/DiscoveryClient.java
+++ b/src/main/java/willowdoor/net/DiscoveryClient.java
@@ -6,11 +6,11 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.handler.codec.LineBasedFrameDecoder;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
@@ -21,7 +21,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.timeout.ReadTimeoutHandler;
+import io.netty.handler.codec.json.JsonObjectDecoder;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.ThreadLocalRandom;
@@ -34,11 +34,19 @@
 final class DiscoveryClient {
 
   private static final Logger LOG = Logger.getLogger(DiscoveryClient.class.getName());
-  private static final int MOST_LINE = 4 << 20;
-  /** Empty lines come every 2 s; a watch silent for more than two of them is replaced. */
-  private static final long SILENT_MS = 5_000;
+  private static final int MOST_LIST = 4 << 20;
+  /** The agent is on this machine and answers at once: a watch that has not begun by then is broken. */
+  private static final long BEGIN_MS = 500;
+  /**
+   * Empty lines come every 2 s. What a silent watch misses counts as told 6 s after it fell silent: half of
+   * that is left for watches after it, of which some may not begin.
+   */
+  private static final long SILENT_MS = 3_000;
+  /** A message comes in one go. Part of one that stays alone would make all that follows part of it. */
+  private static final long WHOLE_MS = 300;
   private static final double LEAST_BACKOFF_MS = 100;
-  private static final double MOST_BACKOFF_MS = 1_500;
+  /** What the agent has counts as told without a watch: well within the second that a drain leaves. */
+  private static final double MOST_BACKOFF_MS = 200;
   /** A watch that lasted so long was a good one; junk on each new one must not make a busy loop. */
   private static final double GOOD_MS = 5_000;
 
@@ -49,8 +57,8 @@
   private long version;
   private double backoffMs = LEAST_BACKOFF_MS;
   private Watch watch;
-  /** The watch at the address that a new configuration has left, until the new one has told something. */
-  private Watch leaving;
+  /** The one before, silent or at an address that is left: it may go on until the newer tells something. */
+  private Watch before;
 
   DiscoveryClient(EventLoop loop, Clock clock, InetSocketAddress agent, long version,
       Consumer<RosterNews> listener) {
@@ -59,7 +67,7 @@
     this.version = version;
     this.listener = listener;
     bootstrap = new Bootstrap().group(loop).channel(Transport.BEST.socket())
-        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 1_000);
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) BEGIN_MS);
     watch = new Watch(agent);
   }
 
@@ -69,18 +77,26 @@
 
   /** Watches at another address; the old watch goes on until the new one tells something. */
   void moveTo(InetSocketAddress other) {
-    if (other.equals(watch.agent)) {
-      return;
-    }
-    if (leaving != null) {
-      leaving.close();
+    if (!other.equals(watch.agent)) {
+      backoffMs = LEAST_BACKOFF_MS;
+      replace(other);
     }
-    leaving = watch;
-    backoffMs = LEAST_BACKOFF_MS;
-    watch = new Watch(other);
+  }
+
+  private void replace(InetSocketAddress agent) {
+    leave();
+    before = watch;
+    watch = new Watch(agent);
     watch.connect();
   }
 
+  private void leave() {
+    if (before != null) {
+      before.close();
+      before = null;
+    }
+  }
+
   private void later(Watch ended) {
     if (ended != watch || loop.isShuttingDown()) {
       return;
@@ -96,25 +112,12 @@
     }, (long) wait, TimeUnit.MILLISECONDS);
   }
 
-  /** Passes on the bytes of the answer's body, in which lines and chunks end where they like. */
-  private static final class Unwrapper extends SimpleChannelInboundHandler<HttpObject> {
-    @Override
-    protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
-      boolean good = part.decoderResult().isSuccess()
-          && !(part instanceof HttpResponse r && !r.status().equals(HttpResponseStatus.OK));
-      if (good && part instanceof HttpContent content && content.content().isReadable()) {
-        ctx.fireChannelRead(content.content().retain());
-      }
-      if (!good || part instanceof LastHttpContent) {
-        ctx.close();
-      }
-    }
-  }
-
   /** One watch on one connection. */
   private final class Watch extends ChannelInitializer<Channel> {
     private final InetSocketAddress agent;
     private final double since = clock.now();
+    private double heardAt = since;
+    private boolean begun;
     private Channel channel;
 
     Watch(InetSocketAddress agent) {
@@ -127,51 +130,117 @@
       connected.addListener((ChannelFuture f) -> {
         f.channel().closeFuture().addListener(closed -> later(this));
         if (f.isSuccess()) {
+          heardAt = clock.now();
           DefaultFullHttpRequest ask = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
               "/discovery/hosts?stream=1&index=" + version);
           String host = agent.getAddress().getHostAddress() + ":" + agent.getPort();
           ask.headers().set(HttpHeaderNames.HOST, host);
           f.channel().writeAndFlush(ask);
+          check();
         }
       });
     }
 
+    /** Opens another in place of one that is silent: a vanished machine resets nothing. */
+    private void check() {
+      if (this != watch || !channel.isActive()) {
+        return;
+      }
+      double left = (begun ? SILENT_MS : BEGIN_MS) - (clock.now() - heardAt);
+      if (left <= 0) {
+        replace(agent);
+      } else {
+        loop.schedule(this::check, (long) Math.ceil(left), TimeUnit.MILLISECONDS);
+      }
+    }
+
     void close() {
       channel.close();
     }
 
     @Override
     protected void initChannel(Channel ch) {
-      ch.pipeline().addLast(new ReadTimeoutHandler(SILENT_MS, TimeUnit.MILLISECONDS),
-          new HttpClientCodec(), new Unwrapper(), new LineBasedFrameDecoder(MOST_LINE), new Lines(this));
+      Messages messages = new Messages();
+      ch.pipeline().addLast(new ChannelInboundHandlerAdapter() {
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object bytes) {
+          heardAt = clock.now();
+          ctx.fireChannelRead(bytes);
+        }
+      }, new HttpClientCodec(), new Unwrapper(this), messages, new Listener(this, messages));
     }
   }
 
-  private final class Lines extends SimpleChannelInboundHandler<ByteBuf> {
+  /** Passes on the bytes of the answer's body, in which messages and chunks end where they like. */
+  private final class Unwrapper extends SimpleChannelInboundHandler<HttpObject> {
     private final Watch source;
 
-    Lines(Watch source) {
+    Unwrapper(Watch source) {
       this.source = source;
     }
 
     @Override
-    protected void channelRead0(ChannelHandlerContext ctx, ByteBuf line) throws IOException {
-      if (source != watch && source != leaving) {
-        return;
+    protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
+      boolean good = part.decoderResult().isSuccess()
+          && !(part instanceof HttpResponse r && !r.status().equals(HttpResponseStatus.OK));
+      source.begun |= good;
+      if (good && part instanceof HttpContent content && content.content().isReadable()) {
+        if (source == watch) {
+          leave();
+        }
+        ctx.fireChannelRead(content.content().retain());
       }
-      RosterNews news = line.isReadable() ? RosterNews.parse(ByteBufUtil.getBytes(line)) : null;
-      if (source == watch && leaving != null) {
-        leaving.close();
-        leaving = null;
+      if (!good || part instanceof LastHttpContent) {
+        ctx.close();
       }
-      if (news != null) {
+    }
+  }
+
+  /** Objects one behind the other, each on one line or on many. */
+  private static final class Messages extends JsonObjectDecoder {
+    Messages() {
+      super(MOST_LIST);
+    }
+
+    boolean holdsPart() {
+      return actualReadableBytes() > 0;
+    }
+  }
+
+  private final class Listener extends SimpleChannelInboundHandler<ByteBuf> {
+    private final Watch source;
+    private final Messages messages;
+    private int taken;
+
+    Listener(Watch source, Messages messages) {
+      this.source = source;
+      this.messages = messages;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, ByteBuf message) throws IOException {
+      taken++;
+      if (source == watch || source == before) {
+        RosterNews news = RosterNews.parse(ByteBufUtil.getBytes(message));
         // A version that is none must not be asked for: the watch would be refused for good.
         version = news.version() > 0 ? news.version() : version;
         listener.accept(news);
       }
     }
 
-    /** Junk, silence or a broken connection: a new watch from the last good version makes up for it. */
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+      if (messages.holdsPart()) {
+        int then = taken;
+        loop.schedule(() -> {
+          if (messages.holdsPart() && taken == then) {
+            ctx.close();
+          }
+        }, WHOLE_MS, TimeUnit.MILLISECONDS);
+      }
+    }
+
+    /** Junk or a broken connection: a new watch from the last good version makes up for it. */
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
       LOG.log(Level.FINE, "watch ended", cause);
--- a/src/test/java/willowdoor/net/DiscoveryTest.java
+++ b/src/test/java/willowdoor/net/DiscoveryTest.java
@@ -11,6 +11,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -38,9 +40,10 @@
 
   private void askUntil(String name) throws IOException {
     Client client = peers.client();
+    long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
     int n = 0;
     while (!client.ask(Peers.get("to-" + name + n++, 3000)).text().equals(name)) {
-      Thread.onSpinWait();
+      assertTrue(System.nanoTime() < until, "no request goes to " + name);
     }
   }
 
@@ -129,6 +132,68 @@
     assertTrue(Peers.next(peers.watches).contains("index=7 "));
   }
 
+  /** What a silent watch misses counts as told after 6 s, also where the next watches do not begin. */
+  @Test
+  void whatASilentWatchMissesIsHeardInTimeThoughTheNextOnesDoNotBegin() throws Exception {
+    int second = namedBackend("2").getLocalPort();
+    AtomicInteger watches = new AtomicInteger();
+    AtomicLong silentSince = new AtomicLong();
+    int agent = peers.listen(50, (in, out, socket) -> {
+      Peers.read(in);
+      int number = watches.incrementAndGet();
+      if (number == 1) {
+        Peers.write(out, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        silentSince.set(System.nanoTime());
+      } else if (number > 3) {
+        String list = Peers.list(8, true, Peers.entry("s-2", second, "active"));
+        Peers.write(out, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            + Integer.toHexString(list.length()) + "\r\n" + list + "\r\n");
+      }
+    }).getLocalPort();
+    String config = peers.config(Peers.entry("s-1", peers.backend.getLocalPort(), "active"));
+    peers.start(config.replace("\"discovery\":\"127.0.0.1:" + peers.discovery.getLocalPort(),
+        "\"discovery\":\"127.0.0.1:" + agent));
+    askUntil("2");
+    assertTrue(System.nanoTime() - silentSince.get() < TimeUnit.SECONDS.toNanos(6));
+  }
+
+  /** However many watches fail while an agent is away, the next is never long in coming. */
+  @Test
+  void aReturningAgentIsAskedWithinTheSecondThatADrainLeaves() throws Exception {
+    int second = namedBackend("2").getLocalPort();
+    AtomicInteger watches = new AtomicInteger();
+    int agent = peers.listen(50, (in, out, socket) -> {
+      if (watches.incrementAndGet() <= 14) {
+        socket.close();
+        return;
+      }
+      Peers.read(in);
+      String list = Peers.list(8, true, Peers.entry("s-2", second, "active"));
+      Peers.write(out, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+          + Integer.toHexString(list.length()) + "\r\n" + list + "\r\n");
+    }).getLocalPort();
+    String config = peers.config(Peers.entry("s-1", peers.backend.getLocalPort(), "active"));
+    peers.start(config.replace("\"discovery\":\"127.0.0.1:" + peers.discovery.getLocalPort(),
+        "\"discovery\":\"127.0.0.1:" + agent));
+    long from = System.nanoTime();
+    askUntil("2");
+    assertTrue(System.nanoTime() - from < TimeUnit.MILLISECONDS.toNanos(14 * 500));
+  }
+
+  @Test
+  void takesListsThatComeIndentedAndOneBehindAnother() throws Exception {
+    int first = peers.backend.getLocalPort();
+    int second = namedBackend("2").getLocalPort();
+    peers.start();
+    Peers.next(peers.watches);
+    String list = Peers.list(8, false, Peers.entry("s-1", first, "leaving")).replace(",", ",\n  ")
+        .replace("{", "{\r\n\t") + "\n\n" + Peers.list(9, false, Peers.entry("s-2", second, "active"));
+    peers.tell(list.substring(0, 50));
+    peers.tell(list.substring(50));
+    askUntil("2");
+    assertTrue(peers.watches.isEmpty(), "none of it was junk");
+  }
+
   @Test
   void saysWhatIsWrongWithAConfiguration() throws IOException {
     String good = peers.config();
