End attempts whose backend, client or process is gone before their connection is up

Found by reading, each forced over real connections in CrossingTest, which fails without the mend: - ModuleDriver.clientLeft and fail left an attempt alone that still waited for its connection: up to the limit of a connect (250 ms here) later the request was written for a client that had gone or had its answer. - ModuleDriver.onRoster told the pool first. What the pool gave up was chosen anew by the list before, went to the draining backend again, and used up all attempts at once; the client was refused. - BackendPool.onRoster closed idle connections of a backend that moved or started again, but not those coming up, which may lead to another backend at the old place, or to a cold one that was not counted. - FrontDoor.end failed what was open and closed the rest 275 ms later: what was half read got a reset, and what waited behind a failed request was sent on and cut off. ClientServer.end now is the one last call: what was taken is failed, what is half here or behind is refused, the rest is closed, in one turn of the loop. - SIGTERM between listening and the shutdown hook ended the process with what it had taken. A cancelled attempt that was never written now counts as not sent.

--- a/src/main/java/willowdoor/net/Attempt.java
+++ b/src/main/java/willowdoor/net/Attempt.java
@@ -63,6 +63,11 @@
     return written ? Status.TIMED_OUT : connection == null ? Status.NOT_SENT : Status.BROKEN;
   }
 
+  /** How calling it off ends this attempt. */
+  final Status cancelled() {
+    return written ? Status.CANCELLED : overdue();
+  }
+
   /** From here on its answer goes to the client as it comes, however long that takes; false if unwanted. */
   final boolean begin(HttpResponse answer) {
     begun = true;
--- a/src/main/java/willowdoor/net/BackendPool.java
+++ b/src/main/java/willowdoor/net/BackendPool.java
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
@@ -38,6 +39,11 @@
     /** The last one in was used last, and is used next: the others grow old and are retired. */
     private final ArrayDeque<BackendConnection> idle = new ArrayDeque<>();
     private final Set<Attempt> connecting = new HashSet<>();
+
+    private void release(List<Attempt> unsent) {
+      List.copyOf(idle).forEach(BackendConnection::close);
+      unsent.addAll(connecting);
+    }
   }
 
   private final EventLoop loop;
@@ -59,36 +65,46 @@
     loop.scheduleWithFixedDelay(this::retireIdle, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
   }
 
-  /** Takes the places that discovery tells; backends that drain or are gone lose their unused connections. */
+  /**
+   * Takes the places that discovery tells. What is unused or still coming up leads to nobody any more where a
+   * backend drains or is gone, or has moved or started again: another may live at its old place.
+   */
   void onRoster(RosterNews news) {
     Set<Long> named = new HashSet<>();
+    List<Backend> left = new ArrayList<>();
     for (BackendEntry e : news.entries()) {
       named.add(e.id());
       if (e.phase() != Phase.SERVING) {
-        remove(e.id());
+        remove(e.id(), left);
         continue;
       }
       Backend b = backends.computeIfAbsent(e.id(), id -> new Backend());
       InetSocketAddress place = news.places().get(e.id());
       if (!place.equals(b.place) || b.startedMs != e.startedMs()) {
-        List.copyOf(b.idle).forEach(BackendConnection::close);
+        if (b.place != null) {
+          left.add(b);
+        }
         b.place = place;
         b.startedMs = e.startedMs();
       }
     }
     if (news.full()) {
-      List.copyOf(backends.keySet()).stream().filter(id -> !named.contains(id)).forEach(this::remove);
+      List.copyOf(backends.keySet()).stream().filter(id -> !named.contains(id))
+          .forEach(id -> remove(id, left));
     }
     knowsAny = !backends.isEmpty();
+    // Only now, as what is given up may go to any backend of the list at once.
+    List<Attempt> unsent = new ArrayList<>();
+    left.forEach(b -> b.release(unsent));
+    unsent.forEach(a -> a.abandon(Status.NOT_SENT));
   }
 
   /** Guards the rule on drains: an attempt that still waits for its connection is not written any more. */
-  private void remove(long id) {
+  private void remove(long id, List<Backend> left) {
     Backend b = backends.remove(id);
     if (b != null) {
       b.gone = true;
-      List.copyOf(b.idle).forEach(BackendConnection::close);
-      List.copyOf(b.connecting).forEach(a -> a.abandon(Status.NOT_SENT));
+      left.add(b);
     }
   }
 
--- a/src/main/java/willowdoor/net/ClientConnection.java
+++ b/src/main/java/willowdoor/net/ClientConnection.java
@@ -347,7 +347,7 @@
         endWith(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body is too large");
       } else if (in.head.uri().equals("/up")) {
         up(in.head);
-      } else if (over || server.full()) {
+      } else if (over || server.over() || server.full()) {
         keepAlive &= !over;
         refused(0);
       } else {
@@ -622,6 +622,15 @@
     }
   }
 
+  /** The process ends: what is half here is refused, as nobody will take the rest of it. */
+  void endUnasked() {
+    if (current == null && waiting.isEmpty() && !Double.isNaN(receivingSince)) {
+      endWith(HttpResponseStatus.SERVICE_UNAVAILABLE, "this front door ends");
+    } else {
+      closeIfIdle();
+    }
+  }
+
   private void dropWaiting() {
     waiting.forEach(w -> w.body.release());
     waiting.clear();
--- a/src/main/java/willowdoor/net/ClientServer.java
+++ b/src/main/java/willowdoor/net/ClientServer.java
@@ -47,8 +47,10 @@
   private final Set<ClientConnection> connections = new LinkedHashSet<>();
   /** Bytes of requests that are held: being received, or until they need not go out again. */
   private int held;
-  private Channel listening;
+  private volatile Channel listening;
   private final Lifecycle lifecycle;
+  /** There is no time left for a further request. */
+  private boolean over;
 
   ClientServer(EventLoop loop, Clock clock, ModuleDriver driver, BackendPool backends, RequestReader reader,
       Bounds bounds, Places places, Lifecycle lifecycle) {
@@ -210,8 +212,21 @@
 
   /** Takes what waits to be taken, and no more connections. */
   void stopAccepting() {
-    Transport.acceptWaiting(listening);
-    listening.close();
+    if (listening != null) {
+      Transport.acceptWaiting(listening);
+      listening.close();
+    }
+  }
+
+  /** The last call: what was taken is failed, and each connection ends, with an answer to what it began. */
+  void end() {
+    over = true;
+    driver.failAll();
+    List.copyOf(connections).forEach(ClientConnection::endUnasked);
+  }
+
+  boolean over() {
+    return over;
   }
 
   boolean idle() {
--- a/src/main/java/willowdoor/net/FrontDoor.java
+++ b/src/main/java/willowdoor/net/FrontDoor.java
@@ -23,6 +23,8 @@
   private static final long ANSWER_MS = 300;
   /** A longer deadline counts as this there. */
   private static final double MOST_DEADLINE_MS = 3_000;
+  /** Nothing is taken from then on, while clients read their last answers; SIGKILL is further off. */
+  private static final long LAST_MS = 330;
   private static final long POLL_MS = 10;
   /** How often it is looked whether another process has started beside this one. */
   private static final long BESIDE_MS = 500;
@@ -57,12 +59,13 @@
     }
     Path path = Path.of(file);
     Config config = Config.read(path).withMgmt(System.getenv("GW_MGMT"));
-    FrontDoor door = start(config, Path.of(System.getProperty("java.io.tmpdir")), wired -> {
+    start(config, Path.of(System.getProperty("java.io.tmpdir")), wired -> {
       ReloadSignal.handle(() -> wired.reload(path));
+      // Before it listens: what it takes is answered from the first request on.
+      Runtime.getRuntime().addShutdownHook(new Thread(wired::end, "end"));
       WarmUp warmUp = new WarmUp(config);
       warmUp.run(warmUp.limitMs());
     });
-    Runtime.getRuntime().addShutdownHook(new Thread(door::end, "end"));
   }
 
   private interface Preparation {
@@ -117,6 +120,10 @@
     return listening.localAddress();
   }
 
+  ClientServer clients() {
+    return clients;
+  }
+
   Lifecycle lifecycle() {
     return lifecycle;
   }
@@ -182,10 +189,10 @@
     }, ACCEPT_MS + POLL_MS, POLL_MS, TimeUnit.MILLISECONDS);
     try {
       if (!drained.await(answerMs, TimeUnit.MILLISECONDS)) {
-        loop.submit(driver::failAll).sync();
+        loop.submit(clients::end).sync();
         // What has begun is passed on for as long as the process is let be.
         do {
-          drained.await(ACCEPT_MS / 2, TimeUnit.MILLISECONDS);
+          drained.await(LAST_MS, TimeUnit.MILLISECONDS);
         } while (loop.submit(driver::passing).sync().getNow() > 0);
       }
     } catch (InterruptedException e) {
--- a/src/main/java/willowdoor/net/ModuleDriver.java
+++ b/src/main/java/willowdoor/net/ModuleDriver.java
@@ -110,6 +110,11 @@
       return true;
     }
 
+    /** Nobody waits any more: what still waits for a connection is not sent on; all: nor what is out. */
+    void callOff(boolean all) {
+      List.copyOf(attempts).stream().filter(a -> all || !a.written).forEach(a -> a.abandon(a.cancelled()));
+    }
+
     /** A request stays in the table while an attempt of it is out: the module still gets that outcome. */
     void forgetIfDone() {
       if (finished && out == 0 && live.remove(request.id(), this)) {
@@ -184,10 +189,8 @@
       return;
     }
     boolean open = r.finish();
-    if (!r.body.whole() || r.begun) {
-      // There is nobody to send the rest, or to take it.
-      List.copyOf(r.attempts).forEach(a -> a.abandon(a.written ? Status.CANCELLED : Status.BROKEN));
-    }
+    // Of a body still coming, or an answer being passed on, there is nobody to send the rest or to take it.
+    r.callOff(!r.body.whole() || r.begun);
     if (open) {
       deliver(new ClientLeft(id));
     }
@@ -202,9 +205,10 @@
     deliver(counted);
   }
 
+  /** The module hears it first: it chooses anew for attempts that the pool gives up because of it. */
   void onRoster(RosterNews news) {
-    backends.onRoster(news);
     deliver(new Roster(news.full() ? RosterForm.COMPLETE : RosterForm.CHANGES, news.entries()));
+    backends.onRoster(news);
   }
 
   /** Fails all that is still unanswered: the process is about to end. */
@@ -216,6 +220,7 @@
   private void fail(Live r) {
     if (r.finish()) {
       r.client.failed();
+      r.callOff(false);
       deliver(new ClientLeft(r.request.id()));
       r.forgetIfDone();
     }
@@ -295,7 +300,8 @@
     } else if (action instanceof Cancel a) {
       Live r = live.get(a.request());
       if (r != null && a.attempt() < r.attempts.size()) {
-        r.attempts.get(a.attempt()).abandon(Status.CANCELLED);
+        Attempt off = r.attempts.get(a.attempt());
+        off.abandon(off.cancelled());
       }
     }
     // FollowRoster needs nothing: the list is watched from the start.
--- /dev/null
+++ b/src/test/java/willowdoor/net/CrossingTest.java
@@ -0,0 +1,218 @@
+package willowdoor.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.handler.codec.http.DefaultHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import willowdoor.GatewayApi.BackendEntry;
+import willowdoor.GatewayApi.Phase;
+import willowdoor.GatewayApi.Request;
+import willowdoor.GatewayApi.Settings;
+import willowdoor.QuotaPolicy;
+import willowdoor.net.Peers.Client;
+
+/**
+ * Events that cross, in the bad order. Where a connection is coming up, both happen in one turn of the event
+ * loop: the kernel has the connection by then, and the loop cannot know.
+ */
+@Timeout(30)
+class CrossingTest {
+
+  private final Peers peers = new Peers();
+  private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, Transport.BEST.ioHandler());
+  private final EventLoop loop = group.next();
+  private final Clock clock = new Clock();
+  private final BlockingQueue<String> answers = new LinkedBlockingQueue<>();
+  private final ServerSocket first = listen();
+  private final ServerSocket second = listen();
+  private Settings settings;
+  private ModuleDriver driver;
+
+  private static ServerSocket listen() {
+    try {
+      ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+      server.setSoTimeout(10_000);
+      return server;
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  @AfterEach
+  void close() throws Exception {
+    group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).sync();
+    peers.close();
+    first.close();
+    second.close();
+  }
+
+  private static RosterNews news(boolean full, long id, ServerSocket place, Phase phase, double startedMs) {
+    return new RosterNews(1, full, List.of(new BackendEntry(id, "a", 0, phase, 1, startedMs)),
+        Map.of(id, (InetSocketAddress) place.getLocalSocketAddress()));
+  }
+
+  /** A driver whose module asks no counter and knows the first backend; to be called on the loop. */
+  private void start() throws IOException {
+    settings = Peers.parse(peers.config().replace("\"Counter\":true", "\"Counter\":false")).settings();
+    driver = new ModuleDriver(loop, clock, new QuotaPolicy(settings, 1),
+        new BackendPool(loop, clock, Dialer.sockets(loop, 5_000), 10_000, new Places(100)));
+    driver.start(null, news(true, 1, first, Phase.SERVING, 0));
+  }
+
+  private void take(String id) {
+    driver.take(new Request(id, settings.classes().get(0), "basic", 1, 1, 1, clock.now() + 4_000),
+        new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/quote/" + id),
+        Body.of(Unpooled.EMPTY_BUFFER), new ModuleDriver.Client() {
+          @Override
+          public void served(FullHttpResponse answer) {
+            answers.add("served");
+          }
+
+          @Override
+          public void begins(HttpResponse head, Attempt from) {
+            answers.add("begun");
+          }
+
+          @Override
+          public boolean piece(HttpContent piece) {
+            return true;
+          }
+
+          @Override
+          public void ends(boolean whole) {
+            answers.add("ended");
+          }
+
+          @Override
+          public void refused(double holdOffMs) {
+            answers.add("refused");
+          }
+
+          @Override
+          public void failed() {
+            answers.add("failed");
+          }
+        });
+  }
+
+  /** What comes on the next connection there: a request's first line, or nothing. */
+  private static String heard(ServerSocket at) throws IOException {
+    try (Socket taken = at.accept()) {
+      taken.setSoTimeout(10_000);
+      StringBuilder line = new StringBuilder();
+      for (int b = taken.getInputStream().read(); b >= 0 && b != '\r'; b = taken.getInputStream().read()) {
+        line.append((char) b);
+      }
+      return line.toString();
+    }
+  }
+
+  @Test
+  void aClientLeavesBeforeTheConnectionForItsRequestIsUp() throws Exception {
+    loop.submit(() -> {
+      start();
+      take("r1");
+      driver.clientLeft("r1");
+      return null;
+    }).sync();
+    assertEquals("", heard(first));
+  }
+
+  @Test
+  void theLastCallComesBeforeTheConnectionForARequestIsUp() throws Exception {
+    loop.submit(() -> {
+      start();
+      take("r1");
+      driver.failAll();
+      return null;
+    }).sync();
+    assertEquals("", heard(first));
+    assertEquals("failed", Peers.next(answers));
+  }
+
+  @Test
+  void aBackendDrainsBetweenTheChoiceAndItsConnection() throws Exception {
+    loop.submit(() -> {
+      start();
+      take("r1");
+      driver.onRoster(new RosterNews(2, false,
+          List.of(new BackendEntry(1, "a", 0, Phase.DRAINING, 1, 0),
+              new BackendEntry(2, "a", 0, Phase.SERVING, 1, 0)),
+          Map.of(2L, (InetSocketAddress) second.getLocalSocketAddress())));
+      return null;
+    }).sync();
+    assertEquals("", heard(first));
+    assertEquals("GET /quote/r1 HTTP/1.1", heard(second));
+  }
+
+  /** Another backend may live where this one did by the time that the connection is up. */
+  @Test
+  void aBackendMovesBetweenTheChoiceAndItsConnection() throws Exception {
+    loop.submit(() -> {
+      start();
+      take("r1");
+      driver.onRoster(news(false, 1, second, Phase.SERVING, 0));
+      return null;
+    }).sync();
+    assertEquals("", heard(first));
+    assertEquals("GET /quote/r1 HTTP/1.1", heard(second));
+  }
+
+  /** At the last call what is half read is refused, and so is what waits behind a request. */
+  @Test
+  void theEndComesBeforeTheRestOfARequest() throws Exception {
+    peers.answer = (request, out) -> true;
+    FrontDoor door = peers.start(peers.config(Peers.entry("s-1", peers.backend.getLocalPort(), "active"))
+        .replace("\"DeadlineMs\":4000", "\"DeadlineMs\":1000").replace("\"AimMs\":1500", "\"AimMs\":500"));
+    Client half = peers.client();
+    half.send(Peers.get("h1", 1000).substring(0, 60));
+    Client kept = peers.client();
+    assertEquals(200, kept.ask("GET /up HTTP/1.1\r\nHost: x\r\n\r\n").status());
+    Thread end = new Thread(door::end);
+    end.start();
+    assertTrue(kept.ended());
+    assertEquals(503, half.receive().status());
+    assertTrue(half.ended());
+    end.join(10_000);
+    assertTrue(!end.isAlive());
+  }
+
+  @Test
+  void theEndComesBeforeTheTurnOfWhatWaitsBehindARequest() throws Exception {
+    FrontDoor door = peers.start();
+    peers.answer = (request, out) -> true;
+    Client client = peers.client();
+    client.send(Peers.get("r1", 4000) + Peers.get("r2", 4000));
+    Peers.next(peers.atBackend);
+    door.loop.submit(() -> {
+      door.lifecycle().end();
+      door.clients().end();
+    }).sync();
+    assertNotEquals(200, client.receive().status());
+    assertEquals(503, client.receive().status());
+    assertTrue(client.ended());
+  }
+}
