Decide a request by the settings that it was read by

For 3 s after a reload requests in the form of the settings before are still read (ClientServer.former), but the module then allowed them the attempts, cancels and waits of the new ones (JobState.attemptsThen was taken from QuotaPolicy.settings): read by one settings object, decided by another. A request now brings what its own settings allow. Where the new ones allow fewer attempts, those still bind what is open.

Found by reading. The test raises the number of attempts and renames the class in one reload: the old form got three attempts where its settings allow one.

--- a/src/main/java/willowdoor/GatewayApi.java
+++ b/src/main/java/willowdoor/GatewayApi.java
@@ -68,13 +68,22 @@
 
   public record Roster(RosterForm form, List<BackendEntry> entries) implements Event { }
 
-  /** A request; its class is that of the settings it came under, and null where they name none such. */
+  /**
+   * A request; its class is that of the settings it was read by, and null where they name none such. So is
+   * what it may use and do; null where those are the module's own.
+   */
   public record Request(String id, RequestClass type, String planName, long customer, int entryPoints,
-      double units, double giveUpMs) implements Event {
+      double units, double giveUpMs, Allowed allowed) implements Event {
+
+    public Request(String id, RequestClass type, String planName, long customer, int entryPoints,
+        double units, double giveUpMs) {
+      this(id, type, planName, customer, entryPoints, units, giveUpMs, null);
+    }
 
     /** The same while its body is still coming: its time is not known yet. */
     public Request withoutLimit() {
-      return new Request(id, type, planName, customer, entryPoints, units, Double.POSITIVE_INFINITY);
+      return new Request(id, type, planName, customer, entryPoints, units, Double.POSITIVE_INFINITY,
+          allowed);
     }
   }
 
--- a/src/main/java/willowdoor/GatewayState.java
+++ b/src/main/java/willowdoor/GatewayState.java
@@ -1,5 +1,6 @@
 package willowdoor;
 
+import willowdoor.GatewayApi.Allowed;
 import willowdoor.GatewayApi.Phase;
 import willowdoor.GatewayApi.Plan;
 import willowdoor.GatewayApi.Request;
@@ -168,8 +169,8 @@
     boolean coming;
     /** Some of such a body has gone, so it cannot be sent again. */
     boolean handed;
-    /** How many attempts the settings allowed when it came. */
-    final int attemptsThen;
+    /** By the settings that it was read by. */
+    final Allowed allowed;
     /** Waits for the counter; its call is unanswered; its units are, or may be, in the shared count. */
     boolean waiting;
     boolean called;
@@ -188,9 +189,9 @@
     double keyedUntil = Double.POSITIVE_INFINITY;
     int attempts;
 
-    JobState(Request request, RequestClass type, int attemptsThen, double now) {
+    JobState(Request request, RequestClass type, Allowed allowed, double now) {
       this.request = request;
-      this.attemptsThen = attemptsThen;
+      this.allowed = allowed;
       this.type = type;
       this.takenAt = now;
       giveUpMs = request.giveUpMs();
--- a/src/main/java/willowdoor/QuotaPolicy.java
+++ b/src/main/java/willowdoor/QuotaPolicy.java
@@ -759,7 +759,7 @@
     Backend keyedTo, lastBackend;
 
     Job(Request request, RequestClass type, Account account) {
-      super(request, type, settings.allowed().attempts(), now);
+      super(request, type, request.allowed() == null ? settings.allowed() : request.allowed(), now);
       this.account = account;
     }
 
@@ -844,7 +844,7 @@
 
   private void send(Job job, Backend b) {
     double left = job.giveUpMs - now - GUARD_MS;
-    if (left <= 0 || job.attempts >= Math.min(job.attemptsThen, settings.allowed().attempts())) {
+    if (left <= 0 || job.attempts >= Math.min(job.allowed.attempts(), settings.allowed().attempts())) {
       giveUp(job);
       return;
     }
@@ -964,7 +964,7 @@
   private void refuse(Job job, double holdOffMs) {
     takeBack(job);
     open.remove(job.request.id());
-    Allowed a = settings.allowed();
+    Allowed a = job.allowed;
     out.add(new Refuse(job.request.id(), a.holdOff() ? Math.min(holdOffMs, a.maxHoldOffMs()) : 0));
   }
 
@@ -1033,7 +1033,7 @@
     double patience = job.aim() * FIRST_TRY_OF_AIM;
     boolean passedOver = a.backend.answeredSentAt > a.sentAt + patience;
     if ((passedOver || a.backend.answeredAt <= a.sentAt) && now - a.sentAt > patience
-        && !job.abandoned && !job.streaming && !job.handedOn && settings.allowed().cancel()
+        && !job.abandoned && !job.streaming && !job.handedOn && job.allowed.cancel()
         && job.type.repeat() != Repeat.UNSAFE && retryTokens >= 1) {
       job.abandoned = true;
       out.add(new Cancel(job.request.id(), a.number));
--- a/src/main/java/willowdoor/net/RequestReader.java
+++ b/src/main/java/willowdoor/net/RequestReader.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.Map;
+import willowdoor.GatewayApi.Allowed;
 import willowdoor.GatewayApi.Repeat;
 import willowdoor.GatewayApi.Request;
 import willowdoor.GatewayApi.RequestClass;
@@ -44,12 +45,14 @@
   private final Map<String, ?> plans;
   private final int gateways;
   private final double mostUnits;
+  private final Allowed allowed;
 
   RequestReader(Settings settings) {
     settings.classes().forEach(c -> classes.put(c.name(), c));
     Map<String, Object> named = new HashMap<>();
     settings.plans().forEach(p -> named.put(p.name(), p));
     plans = named;
+    allowed = settings.allowed();
     gateways = settings.gateways();
     mostUnits = settings.maxUnits() > 0 ? settings.maxUnits() : Double.POSITIVE_INFINITY;
   }
@@ -113,7 +116,7 @@
         || first >= gateways) {
       throw new BadRequest("X-Quota is out of range");
     }
-    return new Request(id, type, plan, customer, (int) spread, units, giveUpMs);
+    return new Request(id, type, plan, customer, (int) spread, units, giveUpMs, allowed);
   }
 
   /** The path and query, also where the request names its target in absolute form. */
--- a/src/test/java/willowdoor/net/ReloadTest.java
+++ b/src/test/java/willowdoor/net/ReloadTest.java
@@ -116,6 +116,24 @@
     assertEquals(200, client.ask(Peers.get("r1", 3000)).status());
   }
 
+  /** What is read by the settings before is decided by them, also where it comes after the new ones. */
+  @Test
+  void whatIsReadByTheSettingsBeforeHasTheirAttempts() throws Exception {
+    Client client = before.client();
+    reload(withClass(own(), "extra", "pure").replace("\"MaxAttempts\":6", "\"MaxAttempts\":1"));
+    while (client.ask(Peers.get("e1", 3000).replace("quote", "extra")).status() == 400) {
+      Thread.onSpinWait();
+    }
+    reload(withClass(own(), "extra", "pure").replace("\"Name\":\"quote\"", "\"Name\":\"other\""));
+    while (client.ask(Peers.get("o1", 3000).replace("quote", "other")).status() == 400) {
+      Thread.onSpinWait();
+    }
+    before.answer = (request, out) -> Peers.write(out, Peers.NOT_STARTED);
+    before.atBackend.clear();
+    assertEquals(503, client.ask(Peers.get("r1", 3000)).status());
+    assertEquals(1, before.atBackend.size());
+  }
+
   @Test
   void nothingIsTakenFromABrokenFile() throws Exception {
     String good = withClass(own(), "extra", "pure")
