--- a/src/test/java/willowdoor/net/CrossingTest.java
+++ b/src/test/java/willowdoor/net/CrossingTest.java
@@ -181,6 +181,35 @@
     assertEquals("GET /quote/r1 HTTP/1.1", heard(second));
   }
 
+  /** The loop writes on a kept connection of which the kernel, but not the loop, has seen the end. */
+  @Test
+  void aBackendClosesAnIdleConnectionUnderTheNextRequest() throws Exception {
+    loop.submit(() -> {
+      start();
+      take("r1");
+      return null;
+    }).sync();
+    Socket kept = first.accept();
+    answer(kept, "GET /quote/r1 HTTP/1.1");
+    TimeUnit.MILLISECONDS.sleep(30);
+    loop.submit(() -> {
+      kept.close();
+      take("r2");
+      return null;
+    }).sync();
+    try (Socket fresh = first.accept()) {
+      answer(fresh, "GET /quote/r2 HTTP/1.1");
+    }
+    assertTrue(answers.isEmpty(), "each request has one answer");
+  }
+
+  private void answer(Socket backend, String expected) throws Exception {
+    backend.setSoTimeout(10_000);
+    assertEquals(expected, Peers.read(backend.getInputStream()).firstLine());
+    Peers.write(backend.getOutputStream(), Peers.OK);
+    assertEquals("served", Peers.next(answers));
+  }
+
   /** At the last call what is half read is refused, and so is what waits behind a request. */
   @Test
   void theEndComesBeforeTheRestOfARequest() throws Exception {
