An attempt tells its backend the time that is left when it is written

It now tells what is left at the write. The clock takes its source of nanoseconds, so that the test moves it. Without the mend the test reads 1000 instead of 760.

--- a/src/main/java/willowdoor/net/Attempt.java
+++ b/src/main/java/willowdoor/net/Attempt.java
@@ -15,6 +15,8 @@
   final Body body;
   /** Infinite while the body is still to come: the time counts from its end. */
   final double timeoutMs;
+  /** When that time is up, on the clock; known once the attempt has started. */
+  double dueAt = Double.POSITIVE_INFINITY;
   /** Null while the attempt has no connection yet. */
   BackendConnection connection;
   /** True once the request's last byte went to the kernel: from then on the backend may have run it. */
--- a/src/main/java/willowdoor/net/BackendConnection.java
+++ b/src/main/java/willowdoor/net/BackendConnection.java
@@ -88,13 +88,17 @@
     channel.close();
   }
 
-  /** Writes the attempt's request; nothing below the module ever writes it again. */
+  /**
+   * Writes the attempt's request; nothing below the module ever writes it again. It tells the time that is
+   * left by now, as the connection may have been long in coming up.
+   */
   void carry(Attempt attempt) {
     current = attempt;
     attempt.connection = this;
     HttpRequest head = attempt.head;
-    if (attempt.timeoutMs < Double.POSITIVE_INFINITY) {
-      head.headers().set(Headers.TIMEOUT_MS, Long.toString((long) Math.ceil(attempt.timeoutMs)));
+    if (attempt.dueAt < Double.POSITIVE_INFINITY) {
+      double left = Math.max(1, attempt.dueAt - pool.now());
+      head.headers().set(Headers.TIMEOUT_MS, Long.toString((long) Math.ceil(left)));
     }
     if (attempt.body.whole()) {
       lastWrite(new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, head.method(), head.uri(),
--- a/src/main/java/willowdoor/net/BackendPool.java
+++ b/src/main/java/willowdoor/net/BackendPool.java
@@ -131,6 +131,7 @@
       attempt.end(Status.NOT_SENT, null);
       return;
     }
+    attempt.dueAt = clock.now() + attempt.timeoutMs;
     limit(attempt, attempt.timeoutMs);
     BackendConnection c = idle(b, attempt);
     if (c != null) {
--- a/src/main/java/willowdoor/net/Clock.java
+++ b/src/main/java/willowdoor/net/Clock.java
@@ -1,6 +1,7 @@
 package willowdoor.net;
 
 import java.time.Instant;
+import java.util.function.LongSupplier;
 
 /**
  * Unix time in milliseconds that never goes back: the system's time once, and the monotonic clock since. The
@@ -8,16 +9,22 @@
  */
 final class Clock {
 
+  private final LongSupplier nanos;
   private final double startMs;
   private final long startNanos;
 
   Clock() {
+    this(System::nanoTime);
+  }
+
+  Clock(LongSupplier nanos) {
+    this.nanos = nanos;
     Instant start = Instant.now();
-    startNanos = System.nanoTime();
+    startNanos = nanos.getAsLong();
     startMs = start.getEpochSecond() * 1e3 + start.getNano() / 1e6;
   }
 
   double now() {
-    return startMs + (System.nanoTime() - startNanos) / 1e6;
+    return startMs + (nanos.getAsLong() - startNanos) / 1e6;
   }
 }
--- a/src/test/java/willowdoor/net/BackendPoolTest.java
+++ b/src/test/java/willowdoor/net/BackendPoolTest.java
@@ -4,10 +4,13 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelPromise;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpMethod;
@@ -17,11 +20,13 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -45,11 +50,15 @@
   private BackendPool pool(int places, int port) {
     BackendPool pool = new BackendPool(loop, new Clock(), Dialer.sockets(loop, 5_000), 10_000,
         new Places(places));
-    pool.onRoster(new RosterNews(1, true, List.of(new BackendEntry(1, "a", 0, Phase.SERVING, 1, 0)),
-        Map.of(1L, new InetSocketAddress(InetAddress.getLoopbackAddress(), port))));
+    pool.onRoster(news(port));
     return pool;
   }
 
+  private static RosterNews news(int port) {
+    return new RosterNews(1, true, List.of(new BackendEntry(1, "a", 0, Phase.SERVING, 1, 0)),
+        Map.of(1L, new InetSocketAddress(InetAddress.getLoopbackAddress(), port)));
+  }
+
   private Attempt attempt(double timeoutMs) {
     return attempt(HttpMethod.GET, timeoutMs);
   }
@@ -89,6 +98,27 @@
     assertEquals(Status.UNREACHABLE, Peers.next(ends));
   }
 
+  /** What the connection took to come up is gone from the client's time, and so from what is told. */
+  @Test
+  void anAttemptTellsTheTimeThatIsLeftWhenItIsWritten() {
+    AtomicLong nanos = new AtomicLong();
+    List<EmbeddedChannel> dialled = new ArrayList<>();
+    List<ChannelPromise> coming = new ArrayList<>();
+    BackendPool pool = new BackendPool(new EmbeddedChannel().eventLoop(), new Clock(nanos::get),
+        (address, handler) -> {
+          dialled.add(new EmbeddedChannel(handler));
+          coming.add(dialled.get(0).newPromise());
+          return coming.get(0);
+        }, 10_000, new Places(100));
+    pool.onRoster(news(1));
+    pool.start(1, attempt(1_000));
+    nanos.addAndGet(TimeUnit.MICROSECONDS.toNanos(240_500));
+    coming.get(0).setSuccess();
+    ByteBuf written = dialled.get(0).readOutbound();
+    assertTrue(written.toString(US_ASCII).contains("Request-Timeout-Ms: 760\r\n"), written.toString(US_ASCII));
+    written.release();
+  }
+
   /** No place here, a backend that has just left the list, no time left to connect: none is its fault. */
   @Test
   void whatThisGatewayCouldNotSendTellsNothingOfTheBackend() throws Exception {
