--- a/src/main/java/willowdoor/net/OperatorsDoor.java
+++ b/src/main/java/willowdoor/net/AdminServer.java
@@ -34,9 +34,9 @@
  * an event loop of its own, so that no load of clients' makes an operator wait; it only reads and moves the
  * {@link Lifecycle}.
  */
-final class OperatorsDoor {
+final class AdminServer {
 
-  private static final Logger LOG = Logger.getLogger(OperatorsDoor.class.getName());
+  private static final Logger LOG = Logger.getLogger(AdminServer.class.getName());
   /** Callers at a time; the oldest makes room for the next, as some connect and never call. */
   private static final int CALLERS = 8;
   /** The loop's own, the listening socket, the callers, and one that is being taken. */
@@ -52,8 +52,8 @@
   private final ArrayDeque<Channel> callers = new ArrayDeque<>(CALLERS);
   private final Channel listening;
 
-  /** Opens it; whether the front door can serve is asked on this door's thread. */
-  OperatorsDoor(InetSocketAddress address, Lifecycle lifecycle, BooleanSupplier ready) throws IOException {
+  /** Opens it; whether the front door can serve is asked on this server's thread. */
+  AdminServer(InetSocketAddress address, Lifecycle lifecycle, BooleanSupplier ready) throws IOException {
     this.lifecycle = lifecycle;
     this.ready = ready;
     ChannelFuture bound = new ServerBootstrap().group(group).channel(Transport.BEST.serverSocket())
@@ -67,7 +67,7 @@
     listening = bound.channel();
     if (!bound.isSuccess()) {
       close();
-      throw new IOException("no operators' door on " + address + ": " + bound.cause().getMessage());
+      throw new IOException("no admin server on " + address + ": " + bound.cause().getMessage());
     }
   }
 
--- a/src/main/java/willowdoor/net/BackendPool.java
+++ b/src/main/java/willowdoor/net/BackendPool.java
@@ -52,7 +52,7 @@
   private final double idleLimitMs;
   private final Places places;
   private final Map<Long, Backend> backends = new HashMap<>();
-  /** Read by the operators' door too. */
+  /** Read by the admin server too. */
   private volatile boolean knowsAny;
   final IdleTrust trust = new IdleTrust();
 
--- a/src/main/java/willowdoor/net/Bounds.java
+++ b/src/main/java/willowdoor/net/Bounds.java
@@ -22,8 +22,8 @@
   private static final int PASSING_BYTES = 64 * 1024;
 
   static Bounds of(double sockets, double memoryMb, double cores) {
-    return new Bounds(Math.max(16, (int) sockets - OWN - PEERS - OperatorsDoor.DESCRIPTORS - MARGIN),
-        Math.max(16, (int) sockets / 2 - OWN - PEERS / 2 - OperatorsDoor.DESCRIPTORS),
+    return new Bounds(Math.max(16, (int) sockets - OWN - PEERS - AdminServer.DESCRIPTORS - MARGIN),
+        Math.max(16, (int) sockets / 2 - OWN - PEERS / 2 - AdminServer.DESCRIPTORS),
         (int) (memoryMb * BODY_PART * (1 << 20)), (int) (memoryMb * PASSING_PART * (1 << 20) / PASSING_BYTES),
         cores);
   }
--- a/src/main/java/willowdoor/net/ClientServer.java
+++ b/src/main/java/willowdoor/net/ClientServer.java
@@ -139,7 +139,7 @@
     reader = by;
   }
 
-  /** Whether it takes clients' requests; asked by the operators' door too, from its own thread. */
+  /** Whether it takes clients' requests; asked by the admin server too, from its own thread. */
   boolean ready() {
     return lifecycle.serving() && backends.knowsAny();
   }
--- a/src/main/java/willowdoor/net/FrontDoor.java
+++ b/src/main/java/willowdoor/net/FrontDoor.java
@@ -34,14 +34,14 @@
   private final Clock clock = new Clock();
   private final CountDownLatch drained = new CountDownLatch(1);
   private ModuleDriver driver;
-  /** Read by the operators' door too, which opens before it is there. */
+  /** Read by the admin server too, which opens before it is there. */
   private volatile ClientServer clients;
   private CounterClient counter;
   private DiscoveryClient discovery;
   private final Lifecycle lifecycle = new Lifecycle(clock);
   private final Handover started;
   private final Handover serving;
-  private OperatorsDoor operators;
+  private AdminServer admin;
   private Channel listening;
   /** The one in use. */
   private volatile Config config;
@@ -84,7 +84,7 @@
     door.config = config;
     try {
       door.started.enter();
-      door.openForOperators(config);
+      door.openAdmin(config);
       door.loop.submit(() -> door.wire(config)).sync();
       beforeListening.of(door);
       door.listening = door.clients.listen(door.group, config.listen()).sync().channel();
@@ -100,11 +100,11 @@
     return door;
   }
 
-  /** Without its operators' door a front door serves all the same. */
-  private void openForOperators(Config config) {
+  /** Without its admin server a front door serves all the same. */
+  private void openAdmin(Config config) {
     if (config.mgmt() != null) {
       try {
-        operators = new OperatorsDoor(config.mgmt(), lifecycle, this::ready);
+        admin = new AdminServer(config.mgmt(), lifecycle, this::ready);
       } catch (IOException e) {
         LOG.severe(e.getMessage());
       }
@@ -128,8 +128,8 @@
     return lifecycle;
   }
 
-  SocketAddress operatorsAddress() {
-    return operators.address();
+  SocketAddress adminAddress() {
+    return admin.address();
   }
 
   private void wire(Config config) {
@@ -203,8 +203,8 @@
 
   void stop() {
     group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
-    if (operators != null) {
-      operators.close();
+    if (admin != null) {
+      admin.close();
     }
   }
 }
--- a/src/main/java/willowdoor/net/Lifecycle.java
+++ b/src/main/java/willowdoor/net/Lifecycle.java
@@ -3,7 +3,7 @@
 import java.util.concurrent.atomic.AtomicReference;
 
 /**
- * Where a front door is between its start and its end. The operators' door and the end of the process move
+ * Where a front door is between its start and its end. The admin server and the end of the process move
  * it from threads of their own; all that depends on it reads it here.
  */
 final class Lifecycle {
--- a/src/test/java/willowdoor/net/OperatorsDoorTest.java
+++ b/src/test/java/willowdoor/net/AdminServerTest.java
@@ -14,7 +14,7 @@
 
 /** What operators are told, whatever clients and other callers do; and what their calls change. */
 @Timeout(30)
-class OperatorsDoorTest {
+class AdminServerTest {
 
   private static final String UP = "GET /up HTTP/1.1\r\nHost: x\r\n\r\n";
 
--- a/src/test/java/willowdoor/net/Peers.java
+++ b/src/test/java/willowdoor/net/Peers.java
@@ -247,14 +247,14 @@
 
   /** An operator's one call: the status of its answer. */
   int operator(String call) throws IOException {
-    try (Client operator = new Client((InetSocketAddress) door.operatorsAddress())) {
+    try (Client operator = new Client((InetSocketAddress) door.adminAddress())) {
       return operator.ask(call + " HTTP/1.1\r\nHost: x\r\n\r\n").status();
     }
   }
 
   /** An operator that has connected. */
   Client operator() throws IOException {
-    Client client = new Client((InetSocketAddress) door.operatorsAddress());
+    Client client = new Client((InetSocketAddress) door.adminAddress());
     open.add(client);
     return client;
   }
