--- a/src/test/java/willowdoor/net/BackendPoolTest.java
+++ b/src/test/java/willowdoor/net/BackendPoolTest.java
@@ -115,7 +115,8 @@
     nanos.addAndGet(TimeUnit.MICROSECONDS.toNanos(240_500));
     coming.get(0).setSuccess();
     ByteBuf written = dialled.get(0).readOutbound();
-    assertTrue(written.toString(US_ASCII).contains("Request-Timeout-Ms: 760\r\n"), written.toString(US_ASCII));
+    String head = written.toString(US_ASCII);
+    assertTrue(head.contains("Request-Timeout-Ms: 760\r\n"), head);
     written.release();
   }
 
