Write a repeat within its window of repeats, or not at all

Ruled out: the group (all converters there), the window's start (counted from the decision, before the write), and a first attempt that did not run (those repeats are free). At fault: QuotaPolicy.again checked the window at the decision alone, and BackendPool.connect wrote whenever the connection was up.

A Send now tells until when it has to be written; the pool ends it as NOT_SENT at that time, and the request is failed.

--- a/src/main/java/willowdoor/GatewayApi.java
+++ b/src/main/java/willowdoor/GatewayApi.java
@@ -114,8 +114,11 @@
   /** What a module has its gateway do. */
   public sealed interface Action { }
 
-  /** Start an attempt; the n-th Send of a request, from 0, is its attempt n. */
-  public record Send(String request, long backend, double timeoutMs) implements Action { }
+  /**
+   * Start an attempt; the n-th Send of a request, from 0, is its attempt n. It ends as NOT_SENT if it cannot
+   * be written within startMs, infinite where any time will do.
+   */
+  public record Send(String request, long backend, double timeoutMs, double startMs) implements Action { }
 
   /** Final answer: refused, trying again is harmless; holdOffMs of 0 gives no advice. */
   public record Refuse(String request, double holdOffMs) implements Action { }
--- a/src/main/java/willowdoor/QuotaPolicy.java
+++ b/src/main/java/willowdoor/QuotaPolicy.java
@@ -844,7 +844,11 @@
 
   private void send(Job job, Backend b) {
     double left = job.giveUpMs - now - GUARD_MS;
-    if (left <= 0 || job.attempts >= Math.min(job.allowed.attempts(), settings.allowed().attempts())) {
+    // A repeat that waits for a backend, or for its connection, must not outlast the window of repeats.
+    boolean repeat = job.mayHaveRun && job.type.repeat() == Repeat.KEYED;
+    double startMs = repeat ? job.keyedUntil - GUARD_MS - now : Double.POSITIVE_INFINITY;
+    int most = Math.min(job.allowed.attempts(), settings.allowed().attempts());
+    if (left <= 0 || startMs <= 0 || job.attempts >= most) {
       giveUp(job);
       return;
     }
@@ -864,7 +868,7 @@
       count(attempt);
     }
     attempts.put(job.request.id() + "#" + attempt.number, attempt);
-    out.add(new Send(job.request.id(), b.id, left));
+    out.add(new Send(job.request.id(), b.id, left, startMs));
   }
 
   /** A request that ended while it waited for the counter must not be sent when the answer comes. */
--- a/src/main/java/willowdoor/net/Attempt.java
+++ b/src/main/java/willowdoor/net/Attempt.java
@@ -17,6 +17,8 @@
   final double timeoutMs;
   /** When that time is up, on the clock; known once the attempt has started. */
   double dueAt = Double.POSITIVE_INFINITY;
+  /** When it must have been written, on the clock. */
+  double writeBy = Double.POSITIVE_INFINITY;
   /** Null while the attempt has no connection yet. */
   BackendConnection connection;
   /** True once the request's last byte went to the kernel: from then on the backend may have run it. */
--- a/src/main/java/willowdoor/net/BackendPool.java
+++ b/src/main/java/willowdoor/net/BackendPool.java
@@ -124,14 +124,15 @@
     }
   }
 
-  /** Starts an attempt on an idle connection, or on a new one. */
-  void start(long id, Attempt attempt) {
+  /** Starts an attempt on an idle connection, or on a new one that comes up within startMs. */
+  void start(long id, Attempt attempt, double startMs) {
     Backend b = backends.get(id);
     if (b == null) {
       attempt.end(Status.NOT_SENT, null);
       return;
     }
     attempt.dueAt = clock.now() + attempt.timeoutMs;
+    attempt.writeBy = clock.now() + startMs;
     limit(attempt, attempt.timeoutMs);
     BackendConnection c = idle(b, attempt);
     if (c != null) {
@@ -179,11 +180,21 @@
         channel.pipeline().addLast(decoder, new HttpRequestEncoder(), c);
       }
     });
+    if (attempt.writeBy < Double.POSITIVE_INFINITY) {
+      loop.schedule(() -> {
+        if (attempt.connection == null) {
+          attempt.abandon(Status.NOT_SENT);
+        }
+      }, Math.max(0, (long) ((attempt.writeBy - clock.now()) * 1000)), TimeUnit.MICROSECONDS);
+    }
     connected.addListener((ChannelFuture f) -> {
       b.connecting.remove(attempt);
       // Guards against writing what has timed out, was cancelled or must not reach a drained backend.
       if (attempt.ended()) {
         f.channel().close();
+      } else if (f.isSuccess() && clock.now() > attempt.writeBy) {
+        f.channel().close();
+        attempt.end(Status.NOT_SENT, null);
       } else if (f.isSuccess()) {
         c.carry(attempt);
       } else {
--- a/src/main/java/willowdoor/net/ModuleDriver.java
+++ b/src/main/java/willowdoor/net/ModuleDriver.java
@@ -348,7 +348,7 @@
     };
     r.attempts.add(attempt);
     r.out++;
-    backends.start(a.backend(), attempt);
+    backends.start(a.backend(), attempt, a.startMs());
   }
 
   private boolean attemptBegan(Live r, int number, HttpResponse answer, Attempt attempt) {
--- a/src/test/java/willowdoor/QuotaPolicyTest.java
+++ b/src/test/java/willowdoor/QuotaPolicyTest.java
@@ -306,6 +306,20 @@
     assertNotEquals(s.backend(), f.only(Send.class).backend());
   }
 
+  @Test
+  void aRepeatOfWhatMayHaveRunHasToBeWrittenWithinItsWindow() {
+    Fixtures f = Fixtures.counted();
+    f.request("zone", "free", 1);
+    Send first = f.only(Send.class);
+    assertEquals(Double.POSITIVE_INFINITY, first.startMs());
+    f.pass(500).outcome(first, 0, Status.UNREACHABLE, false);
+    Send second = f.only(Send.class);
+    assertEquals(Double.POSITIVE_INFINITY, second.startMs(), "nothing has run by now");
+    f.pass(2000).outcome(second, 1, Status.ERROR, false);
+    double left = 3000 - 2000;
+    assertTrue(f.only(Send.class).startMs() > left - 50 && f.only(Send.class).startMs() < left);
+  }
+
   @Test
   void aKeyedRequestThatMayHaveRunStaysInItsGroupAndWindow() {
     Fixtures f = Fixtures.counted();
--- a/src/test/java/willowdoor/net/BackendPoolTest.java
+++ b/src/test/java/willowdoor/net/BackendPoolTest.java
@@ -2,6 +2,9 @@
 
 import static java.nio.charset.StandardCharsets.US_ASCII;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.netty.buffer.ByteBuf;
@@ -20,7 +23,6 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
@@ -38,6 +40,8 @@
 @Timeout(30)
 class BackendPoolTest {
 
+  private static final double FOREVER = Double.POSITIVE_INFINITY;
+
   private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, Transport.BEST.ioHandler());
   private final EventLoop loop = group.next();
   private final BlockingQueue<Status> ends = new LinkedBlockingQueue<>();
@@ -78,7 +82,7 @@
   void aConnectionResetWhileItOpensIsNoRefusal() throws Exception {
     try (ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
       loop.submit(() -> {
-        pool(100, server.getLocalPort()).start(1, attempt(5_000));
+        pool(100, server.getLocalPort()).start(1, attempt(5_000), FOREVER);
         // Behind the connecting, which is the loop's next task.
         return loop.submit(() -> {
           Socket taken = server.accept();
@@ -94,39 +98,68 @@
   @Test
   void aRefusedConnectionIsUnreachable() throws Exception {
     int port = freePort();
-    loop.submit(() -> pool(100, port).start(1, attempt(5_000))).sync();
+    loop.submit(() -> pool(100, port).start(1, attempt(5_000), FOREVER)).sync();
     assertEquals(Status.UNREACHABLE, Peers.next(ends));
   }
 
-  /** What the connection took to come up is gone from the client's time, and so from what is told. */
-  @Test
-  void anAttemptTellsTheTimeThatIsLeftWhenItIsWritten() {
-    AtomicLong nanos = new AtomicLong();
-    List<EmbeddedChannel> dialled = new ArrayList<>();
-    List<ChannelPromise> coming = new ArrayList<>();
+  /** A pool on the test's clock, one backend, and connections that come up when the test says so. */
+  private final AtomicLong nanos = new AtomicLong();
+  private final EmbeddedChannel dialled = new EmbeddedChannel();
+  private final ChannelPromise connected = dialled.newPromise();
+
+  private BackendPool slowPool() {
     BackendPool pool = new BackendPool(new EmbeddedChannel().eventLoop(), new Clock(nanos::get),
         (address, handler) -> {
-          dialled.add(new EmbeddedChannel(handler));
-          coming.add(dialled.get(0).newPromise());
-          return coming.get(0);
+          dialled.pipeline().addLast(handler);
+          return connected;
         }, 10_000, new Places(100));
     pool.onRoster(news(1));
-    pool.start(1, attempt(1_000));
-    nanos.addAndGet(TimeUnit.MICROSECONDS.toNanos(240_500));
-    coming.get(0).setSuccess();
-    ByteBuf written = dialled.get(0).readOutbound();
+    return pool;
+  }
+
+  private void connectAfter(long micros) {
+    nanos.addAndGet(TimeUnit.MICROSECONDS.toNanos(micros));
+    connected.setSuccess();
+  }
+
+  /** What the connection took to come up is gone from the client's time, and so from what is told. */
+  @Test
+  void anAttemptTellsTheTimeThatIsLeftWhenItIsWritten() {
+    slowPool().start(1, attempt(1_000), FOREVER);
+    connectAfter(240_500);
+    ByteBuf written = dialled.readOutbound();
     String head = written.toString(US_ASCII);
     assertTrue(head.contains("Request-Timeout-Ms: 760\r\n"), head);
     written.release();
   }
 
+  /** The window of its repeats may be over by the time that the connection is up. */
+  @Test
+  void anAttemptWhoseConnectionComesTooLateIsNotWritten() {
+    slowPool().start(1, attempt(1_000), 200);
+    connectAfter(240_500);
+    assertNull(dialled.readOutbound());
+    assertEquals(Status.NOT_SENT, ends.poll());
+    assertFalse(dialled.isOpen());
+  }
+
+  @Test
+  void anAttemptWhoseConnectionIsThereInTimeIsWritten() {
+    slowPool().start(1, attempt(1_000), 200);
+    connectAfter(190_500);
+    ByteBuf written = dialled.readOutbound();
+    assertNotNull(written);
+    written.release();
+    assertTrue(ends.isEmpty());
+  }
+
   /** No place here, a backend that has just left the list, no time left to connect: none is its fault. */
   @Test
   void whatThisGatewayCouldNotSendTellsNothingOfTheBackend() throws Exception {
     int port = freePort();
-    loop.submit(() -> pool(0, port).start(1, attempt(5_000))).sync();
+    loop.submit(() -> pool(0, port).start(1, attempt(5_000), FOREVER)).sync();
     assertEquals(Status.NOT_SENT, Peers.next(ends));
-    loop.submit(() -> pool(100, port).start(2, attempt(5_000))).sync();
+    loop.submit(() -> pool(100, port).start(2, attempt(5_000), FOREVER)).sync();
     assertEquals(Status.NOT_SENT, Peers.next(ends));
     loop.submit(() -> {
       Attempt late = attempt(5_000);
@@ -141,22 +174,22 @@
     try (ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
       server.setSoTimeout(10_000);
       BackendPool pool = loop.submit(() -> pool(100, server.getLocalPort())).sync().getNow();
-      loop.submit(() -> pool.start(1, attempt(5_000)));
+      loop.submit(() -> pool.start(1, attempt(5_000), FOREVER));
       Socket first = server.accept();
       answer(first);
       long quiet = System.nanoTime();
       TimeUnit.MILLISECONDS.sleep(50);
-      loop.submit(() -> pool.start(1, attempt(5_000)));
+      loop.submit(() -> pool.start(1, attempt(5_000), FOREVER));
       read(first);
       first.setSoLinger(true, 0);
       first.close();
       assertEquals(Status.SPOILT, Peers.next(ends));
       quiet = System.nanoTime() - quiet;
-      loop.submit(() -> pool.start(1, attempt(5_000)));
+      loop.submit(() -> pool.start(1, attempt(5_000), FOREVER));
       Socket second = server.accept();
       answer(second);
       TimeUnit.NANOSECONDS.sleep(quiet);
-      loop.submit(() -> pool.start(1, attempt(HttpMethod.POST, 5_000)));
+      loop.submit(() -> pool.start(1, attempt(HttpMethod.POST, 5_000), FOREVER));
       answer(server.accept());
     }
   }
