Take a zone or cell for lost by silence alone, and for back by its first answers

At fault: QuotaPolicy.learn booked each error, and each silent attempt, to the zone and the cell, at a weight that grows to 0.6 and more where a front door meets them seldom; Backend.wait then kept it from being tried. Now any answer shows that the group is there, a lost attempt counts only while nobody there has answered since it was sent, and answers count more than losses.

--- a/src/main/java/willowdoor/GatewayState.java
+++ b/src/main/java/willowdoor/GatewayState.java
@@ -34,7 +34,11 @@
     }
 
     void add(double sample, double now) {
-      value += Math.max(weight, 1 - Math.exp((at - now) / lifeMs)) * (sample - value);
+      add(sample, weight, now);
+    }
+
+    void add(double sample, double least, double now) {
+      value += Math.max(least, 1 - Math.exp((at - now) / lifeMs)) * (sample - value);
       at = now;
     }
 
@@ -44,6 +48,16 @@
     }
   }
 
+  /** Whether a group of backends can be reached: the share of attempts lost there, and the last answer. */
+  static final class Reach {
+    final Mean lost;
+    double answeredAt = Double.NEGATIVE_INFINITY;
+
+    Reach(Mean lost) {
+      this.lost = lost;
+    }
+  }
+
   /** One customer as this gateway sees it. */
   static class AccountState {
     final long customer;
@@ -112,9 +126,9 @@
     double startedMs;
     /** When a failed connection made it look restarted, unless that is settled. */
     double doubtedAt = Double.NEGATIVE_INFINITY;
-    /** Failures of its zone and of its cell, shared by their backends. */
-    Mean zoneFailing;
-    Mean cellFailing;
+    /** Its zone and its cell, shared by their backends. */
+    Reach zoneReach;
+    Reach cellReach;
     double service = Double.NaN;
     double failing;
     int rests;
@@ -137,9 +151,9 @@
       coldAt = now;
     }
 
-    /** The failing share of its zone or of its cell, whichever is more. */
+    /** The share lost on the way to its zone or to its cell, whichever is more. */
     double nearFailing(double now) {
-      return Math.max(zoneFailing.fresh(now), cellFailing.fresh(now));
+      return Math.max(zoneReach.lost.fresh(now), cellReach.lost.fresh(now));
     }
 
     /** Its place in the order of one gateway, which differs from the orders of others. */
--- a/src/main/java/willowdoor/QuotaPolicy.java
+++ b/src/main/java/willowdoor/QuotaPolicy.java
@@ -52,6 +52,8 @@
   private static final double SPELL_MS = 15_000;
   /** Weight of the newest answer in a backend's failures; in service times, which differ more, half of it. */
   private static final double NEWEST = 0.2;
+  /** Weight of an answer from a group of backends that was taken for lost. */
+  private static final double BACK = 0.5;
   /** A backend failing more of its answers than this, as after three in a row, rests for a growing while. */
   private static final double FAILING_SHARE = 0.4;
   private static final double REST_MS = 1_000;
@@ -558,7 +560,7 @@
       if (!zone.equals(settings.zone())) {
         w += settings.crossZonePrice() * job.aim();
       }
-      return w * (1 + 4 * Math.max(nearFailing(now), failing * remembered())) * (trial ? 0.5 : 1);
+      return w * (1 + 4 * failing * remembered()) * (trial ? 0.5 : 1);
     }
   }
 
@@ -579,7 +581,7 @@
   }
 
   private final TreeMap<Long, Backend> backends = new TreeMap<>();
-  private final Map<String, Mean> failing = new HashMap<>();
+  private final Map<String, Reach> reaches = new HashMap<>();
   private double fleetService = UNKNOWN_SERVICE_MS;
   private final List<Backend> serving = new ArrayList<>();
   private final List<Backend> usual = new ArrayList<>();
@@ -601,8 +603,8 @@
       }
       b.zone = x.zone();
       b.cell = x.cell();
-      b.zoneFailing = failing(x.zone());
-      b.cellFailing = failing(x.zone() + "/" + x.cell());
+      b.zoneReach = reach(x.zone());
+      b.cellReach = reach(x.zone() + "/" + x.cell());
       b.phase = x.phase();
       b.startedMs = Math.max(b.startedMs, x.startedMs());
       b.toldStart = x.startedMs();
@@ -620,8 +622,8 @@
     warmAt = Double.NEGATIVE_INFINITY;
   }
 
-  private Mean failing(String group) {
-    return failing.computeIfAbsent(group, g -> new Mean(NEWEST, PRESSURE_LIFE_MS, now));
+  private Reach reach(String group) {
+    return reaches.computeIfAbsent(group, g -> new Reach(new Mean(NEWEST, PRESSURE_LIFE_MS, now)));
   }
 
   /**
@@ -702,18 +704,16 @@
       default -> false;
     };
     double forget = b.remembered();
-    // A spoilt answer tells that the backend works; any may give one, so none rests for it.
-    if (e.status() == Status.OK || e.status() == Status.ERROR || e.status() == Status.REJECTED
-        || e.status() == Status.SPOILT) {
+    if (answers(e.status())) {
       b.answeredAt = now;
       b.answeredSentAt = Math.max(b.answeredSentAt, attempt.sentAt);
     }
     if (e.status() == Status.OK || bad) {
       b.failing *= forget;
       b.failing += NEWEST * ((bad ? 1 : 0) - b.failing);
-      b.zoneFailing.add(bad ? 1 : 0, now);
-      b.cellFailing.add(bad ? 1 : 0, now);
     }
+    reach(b.zoneReach, attempt, e.status(), bad);
+    reach(b.cellReach, attempt, e.status(), bad);
     if (e.status() == Status.OK) {
       trust(b, attempt);
       b.trial = false;
@@ -737,6 +737,27 @@
     }
   }
 
+  /**
+   * Any answer shows that its group is there, one of an error too: that tells of the backend alone. A lost
+   * attempt tells of the group only while nobody there has answered since. Guards against leaving a zone or a
+   * cell for a sick or busy backend of it, and, as a gone one never answers, against leaving it for long once
+   * it is back. Harm: none known.
+   */
+  private void reach(Reach group, Attempt attempt, Status status, boolean bad) {
+    if (answers(status)) {
+      group.answeredAt = now;
+      group.lost.add(0, BACK, now);
+    } else if (bad && group.answeredAt <= attempt.sentAt) {
+      group.lost.add(1, now);
+    }
+  }
+
+  /** A spoilt answer tells that the backend works. */
+  private static boolean answers(Status status) {
+    return status == Status.OK || status == Status.ERROR || status == Status.REJECTED
+        || status == Status.SPOILT;
+  }
+
   /**
    * A backend that looked restarted and then answers what was sent before that has not restarted: nothing
    * outlives its process. Guards against connections that fail for any other cause, of which a few would
--- a/src/test/java/willowdoor/FleetTest.java
+++ b/src/test/java/willowdoor/FleetTest.java
@@ -342,6 +342,62 @@
     assertTrue(near > 0.85 * all, near + " of " + all + " to the zone that answers");
   }
 
+  // Guards against leaving a whole zone for one sick backend, which a gateway of many seldom meets.
+  @Test
+  void anAnsweredErrorTellsNothingOfTheZone() {
+    Fixtures f = new Fixtures(Fixtures.settings(true, 300, false)).backends(200);
+    int near = 0;
+    for (int i = 0; i < 60; i++) {
+      f.run(4_000).request("unsafe", "free", 1);
+      Send sick = f.only(Send.class);
+      f.outcome(sick, 0, Status.ERROR, false);
+      f.run(25).request("unsafe", "free", 1);
+      Send next = f.only(Send.class);
+      near += next.backend() % 2 == sick.backend() % 2 ? 1 : 0;
+      f.outcome(next, 0, Status.OK, true);
+    }
+    assertTrue(near > 15, near + " of 60 to the zone of the sick backend");
+  }
+
+  // Guards against taking a slow request for a lost zone while others there are answered.
+  @Test
+  void aSilentAttemptTellsNothingOfAZoneThatAnswered() {
+    Fixtures f = new Fixtures(Fixtures.settings(true, 300, false)).backends(200);
+    int near = 0;
+    for (int i = 0; i < 60; i++) {
+      f.run(4_000).request("unsafe", "free", 1);
+      Send slow = f.only(Send.class);
+      for (int k = 0; k < 6; k++) {
+        f.run(25).request("unsafe", "free", 1);
+        f.outcome(f.only(Send.class), 0, Status.OK, true);
+      }
+      f.run(2_000).outcome(slow, 0, Status.TIMED_OUT, false);
+      f.run(25).request("unsafe", "free", 1);
+      Send next = f.only(Send.class);
+      near += next.backend() % 2 == slow.backend() % 2 ? 1 : 0;
+      f.outcome(next, 0, Status.OK, true);
+    }
+    assertTrue(near > 22, near + " of 60 to the zone of the slow request");
+  }
+
+  // Guards against learning late that a zone is back: a few of its backends' answers tell it for all.
+  @Test
+  void aZoneThatIsBackIsUsedSoon() {
+    Fixtures f = new Fixtures(Fixtures.settings(true, 300, false)).backends(200);
+    int near = 0;
+    int all = 0;
+    for (int i = 0; i < 200; i++) {
+      f.run(300).request("unsafe", "free", 1);
+      Send s = f.only(Send.class);
+      boolean odd = s.backend() % 2 == 1;
+      boolean lost = odd && i % 40 < 20;
+      f.outcome(s, 0, lost ? Status.RESET : Status.OK, !lost);
+      near += i % 40 >= 25 && odd ? 1 : 0;
+      all += i % 40 >= 25 ? 1 : 0;
+    }
+    assertTrue(near > 0.48 * all, near + " of " + all + " to the zone that is back for 1.5 s and more");
+  }
+
   // Guards a customer's quota when its gateway restarts, or when it comes through another one.
   @Test
   void aRestartedGatewayKnowsTheQuotaFromTheCount() {
