Count a customer's open requests together where its cap is less than one a front door

A customer has 7 to 14 front doors, each of them let one through: harmless in one, five times the cap in all.

At fault: QuotaPolicy.check held the cap by max(1, cap / gateways). Where there are more gateways than places a request now adds one to its customer's shared count of open requests, is refused if that passes the cap, and gives its place back as it ends, on one count for each 10 s, so that a killed front door's places come back. While the counter is away the split is of what can follow each other in the places.

--- a/src/main/java/willowdoor/GatewayState.java
+++ b/src/main/java/willowdoor/GatewayState.java
@@ -88,8 +88,9 @@
     /** The ceiling: what counted sends may use together, and this gateway's own part. */
     double counted;
     double own;
-    /** What this gateway may send on unasked. */
+    /** What this gateway may send on unasked: units, and open requests. */
     double part;
+    double openPart;
     int out;
 
     AccountState(long customer, Plan plan, int gateways, double now) {
@@ -110,6 +111,11 @@
     String name(long ofWindow) {
       return Long.toString(customer, 36) + ":" + ofWindow;
     }
+
+    /** The count of its open requests that began in that window. */
+    String openName(long ofWindow) {
+      return Long.toString(customer, 36) + ":o" + ofWindow;
+    }
   }
 
   /** One backend as this gateway sees it. */
@@ -194,6 +200,12 @@
     /** Units that its call adds. */
     double asked;
     boolean inQuota;
+    /** The count in which it has, or may have, a place among its customer's open requests, or null. */
+    String place;
+    /** Waits for that place; its call is unanswered; no attempt will follow. */
+    boolean claiming;
+    boolean claimed;
+    boolean ended;
     boolean held;
     boolean streaming;
     boolean mayHaveRun;
--- a/src/main/java/willowdoor/QuotaPolicy.java
+++ b/src/main/java/willowdoor/QuotaPolicy.java
@@ -23,6 +23,8 @@
   /** Counts estimated to be past the limit by this share of it are not asked for: the answer is known. */
   private static final double SURELY_SPENT = 0.5;
   private static final double COUNT_TTL_MS = 60_000;
+  /** A count of open requests lasts so long: until then a place is taken that a killed gateway had. */
+  private static final double OPEN_WINDOW_MS = 10_000;
   /** How often waiting requests are looked at: well under what a person or an aim notices. */
   private static final double TICK_MS = 25;
   /** Without open requests a slow pulse is enough: it shows when this gateway stood still. */
@@ -170,7 +172,8 @@
       phase = Math.floorMod(customer * 0x9E3779B97F4A7C15L, (long) WINDOW_MS);
       level = settings.allowed().sharedCount() ? plan.burst() : plan.burst() / this.gateways;
       fillCeiling((now - startedAt) / 1000);
-      part = random.nextDouble() * settings.maxUnits();
+      openPart = random.nextDouble();
+      part = openPart * settings.maxUnits();
       othersRate = plan.rate() * (plain ? USUAL_USE : 1 - 1.0 / this.gateways);
     }
 
@@ -198,6 +201,7 @@
     void fillPart(double dt) {
       double most = Math.max(plan.burst() / gateways, settings.maxUnits());
       part = Math.min(most, part + plan.rate() / gateways * dt);
+      openPart = Math.min(1, openPart + plan.openLimit() / (fleetService / 1000) / gateways * dt);
     }
 
     /** Refills to the present; others go on spending as they did, but this gateway keeps its own share. */
@@ -246,8 +250,8 @@
     }
   }
 
-  /** One call to the counter: what it adds, and the request that waits for it. */
-  private record Call(Account account, long window, double amount, Job job) { }
+  /** One call to the counter: what it adds, and the request that waits for it; place: to an open count. */
+  private record Call(Account account, long window, double amount, Job job, boolean place) { }
 
   /** In order of use, so that the longest idle is dropped when another is met: nothing grows for ever. */
   private final Map<Long, Account> accounts = new LinkedHashMap<>(16, 0.75f, true) {
@@ -275,10 +279,84 @@
 
   private void check(Job job) {
     Account a = job.account;
-    double units = job.request.units();
-    if (a.plan.openLimit() > 0 && a.out >= Math.max(1, a.plan.openLimit() / a.gateways)) {
+    int most = a.plan.openLimit();
+    // With no more gateways than places an even split holds the limit without a call.
+    if (most > 0 && a.gateways > most && a.out < most && settings.allowed().sharedCount() && mayCall()) {
+      claim(job);
+    } else {
+      checkAlone(job);
+    }
+  }
+
+  /**
+   * The limit on open requests by an even split: of the places, and where there are more gateways than those,
+   * of how many requests can follow each other in them.
+   */
+  private void checkAlone(Job job) {
+    Account a = job.account;
+    int most = a.plan.openLimit();
+    boolean split = most > 0 && a.gateways > most;
+    if (most > 0 && a.out >= Math.max(1, most / a.gateways) || split && a.openPart < 1) {
       beyondQuota(job);
-    } else if (a.plan.rate() <= 0 && a.plan.ceilingRate() <= 0) {
+    } else {
+      a.openPart -= split ? 1 : 0;
+      checkRate(job);
+    }
+  }
+
+  /** Asks for a place among its customer's open requests, which is given back as soon as it has ended. */
+  private void claim(Job job) {
+    job.claiming = true;
+    job.claimed = true;
+    job.place = job.account.openName((long) Math.floor(now / OPEN_WINDOW_MS));
+    add(job.place, new Call(job.account, 0, 1, job, true));
+  }
+
+  private void add(String name, Call call) {
+    calls.computeIfAbsent(name, n -> new ArrayDeque<>()).add(call);
+    out.add(new Add(name, call.amount, COUNT_TTL_MS));
+  }
+
+  private void onClaimed(Call call, Counted e) {
+    Job job = call.job;
+    if (job == null) {
+      return;
+    }
+    job.claimed = false;
+    job.place = e.status().provesNotRun() ? null : job.place;
+    if (job.ended) {
+      giveBack(job);
+    } else if (job.claiming) {
+      job.claiming = false;
+      if (e.status() != Status.OK) {
+        checkAlone(job);
+      } else if (e.total() > job.account.plan.openLimit()) {
+        giveBack(job);
+        beyondQuota(job);
+      } else {
+        checkRate(job);
+      }
+    }
+  }
+
+  /** Its end frees its place for others; the answer to a call still under way tells whether it had one. */
+  private void ended(Job job) {
+    job.ended = true;
+    job.claiming = false;
+    giveBack(job);
+  }
+
+  private void giveBack(Job job) {
+    if (job.place != null && !job.claimed) {
+      add(job.place, new Call(job.account, 0, -1, null, true));
+      job.place = null;
+    }
+  }
+
+  private void checkRate(Job job) {
+    Account a = job.account;
+    double units = job.request.units();
+    if (a.plan.rate() <= 0 && a.plan.ceilingRate() <= 0) {
       dispatch(job);
     } else if (!settings.allowed().sharedCount()) {
       decide(job, false);
@@ -312,9 +390,8 @@
     job.waiting = true;
     job.called = true;
     job.asked = a.plain || a.level >= units ? units : 0;
-    Call call = new Call(a, a.windowNow(now), job.asked + a.owed, job);
-    calls.computeIfAbsent(a.name(call.window), n -> new ArrayDeque<>()).add(call);
-    out.add(new Add(a.name(call.window), call.amount, COUNT_TTL_MS));
+    Call call = new Call(a, a.windowNow(now), job.asked + a.owed, job, false);
+    add(a.name(call.window), call);
     a.flying += job.asked;
     a.owed = 0;
   }
@@ -331,14 +408,17 @@
     Account a = call.account;
     Job job = call.job;
     a.advance();
+    if (call.place) {
+      judge(e);
+      onClaimed(call, e);
+      return;
+    }
     if (cutOff(e.status()) && job.waiting && !job.reread) {
       readAgain(e.name(), call);
       return;
     }
     a.flying -= job.asked;
-    if (!stalled() && e.status() != Status.RESET || e.status() == Status.OK) {
-      judgeCounter(e);
-    }
+    judge(e);
     boolean added = job.reread || !e.status().provesNotRun();
     if (e.status() == Status.OK) {
       observe(a, call, e.total());
@@ -370,9 +450,13 @@
   private void readAgain(String name, Call call) {
     call.job.reread = true;
     call.account.maybe += call.amount;
-    Call read = new Call(call.account, call.window, 0, call.job);
-    calls.computeIfAbsent(name, n -> new ArrayDeque<>()).add(read);
-    out.add(new Add(name, 0, COUNT_TTL_MS));
+    add(name, new Call(call.account, call.window, 0, call.job, false));
+  }
+
+  private void judge(Counted e) {
+    if (!stalled() && e.status() != Status.RESET || e.status() == Status.OK) {
+      judgeCounter(e);
+    }
   }
 
   private void judgeCounter(Counted e) {
@@ -898,6 +982,9 @@
     if (job != null) {
       job.waiting = false;
       takeBack(job);
+      if (job.live == null) {
+        ended(job);
+      }
     }
   }
 
@@ -958,6 +1045,7 @@
     job.handed |= job.handedOn && e.status() != Status.UNREACHABLE && e.status() != Status.NOT_SENT;
     if (e.over()) {
       open.remove(e.request());
+      ended(job);
     } else if (open.containsKey(e.request())) {
       again(job);
     }
@@ -982,6 +1070,7 @@
       refuse(job, 0);
     } else {
       open.remove(job.request.id());
+      ended(job);
       out.add(new Fail(job.request.id()));
     }
   }
@@ -989,6 +1078,7 @@
   private void refuse(Job job, double holdOffMs) {
     takeBack(job);
     open.remove(job.request.id());
+    ended(job);
     Allowed a = job.allowed;
     out.add(new Refuse(job.request.id(), a.holdOff() ? Math.min(holdOffMs, a.maxHoldOffMs()) : 0));
   }
@@ -1033,6 +1123,9 @@
     boolean late = late(job);
     if (job.live != null) {
       abandonSilent(job);
+    } else if (job.claiming && (late || waited > COUNT_WAIT_OF_AIM * job.aim())) {
+      job.claiming = false;
+      checkAlone(job);
     } else if (job.waiting && (late || waited > COUNT_WAIT_OF_AIM * job.aim())) {
       job.waiting = false;
       decide(job, false);
--- a/src/test/java/willowdoor/FleetTest.java
+++ b/src/test/java/willowdoor/FleetTest.java
@@ -179,6 +179,56 @@
     assertTrue(units[0] > 20 * Fixtures.BROAD.rate() * 0.4, units[0] + " units in 20 s");
   }
 
+  // Guards a cap on open requests that is less than one for each gateway: all together must keep to it.
+  @Test
+  void openRequestsOfTheFleetKeepToTheirPlaces() {
+    assertTrue(mostOpen(Status.OK) <= 2, "by the shared count");
+    assertTrue(sent > 60, sent + " sent in 20 s of places for 160");
+  }
+
+  // Guards the same cap while the counter is away: what follows each other in the places is split evenly.
+  @Test
+  void withoutACounterOpenRequestsFollowEachOtherAtTheCapsPace() {
+    mostOpen(Status.REJECTED);
+    assertTrue(sent > 60 && sent < 240, sent + " sent in 20 s of places for 160");
+  }
+
+  private int sent;
+
+  /** Ten gateways with a customer whose requests take 250 ms each; how many were open at once. */
+  private int mostOpen(Status counter) {
+    fleet(10, 12);
+    Map<String, Double> counts = new HashMap<>();
+    List<Map.Entry<Fixtures, Send>> open = new ArrayList<>();
+    Map<String, Double> since = new HashMap<>();
+    int[] most = new int[1];
+    BiConsumer<Fixtures, Action> world = new BiConsumer<>() {
+      @Override
+      public void accept(Fixtures f, Action a) {
+        if (a instanceof Add add) {
+          double total = counter == Status.OK ? counts.merge(add.name(), add.amount(), Double::sum) : 0;
+          f.on(new Counted(add.name(), counter, total, 2));
+          hand(f, this);
+        } else if (a instanceof Send s) {
+          open.add(Map.entry(f, s));
+          since.put(s.request(), f.now);
+          sent++;
+          most[0] = Math.max(most[0], open.size());
+        }
+      }
+    };
+    for (int i = 0; i < 800; i++) {
+      run(0.025, 40, "narrow", world);
+      for (Map.Entry<Fixtures, Send> e : List.copyOf(open)) {
+        if (e.getKey().now - since.get(e.getValue().request()) >= 250) {
+          open.remove(e);
+          answer(e.getKey(), e.getValue(), Status.OK, world);
+        }
+      }
+    }
+    return most[0];
+  }
+
   @Test
   void theCeilingHoldsThroughManyGatewaysAndThroughFew() {
     assertTrue(lowestOfCeiling(200) >= -Fixtures.WIDE.ceilingSlack());
--- a/src/test/java/willowdoor/QuotaPolicyTest.java
+++ b/src/test/java/willowdoor/QuotaPolicyTest.java
@@ -172,6 +172,46 @@
     assertTrue(f.only(Refuse.class).holdOffMs() > 0, "told to come back when one may have ended");
   }
 
+  /** Through more gateways than places: a place is counted as open, and given back with each kind of end. */
+  @Test
+  void aPlaceAmongTheOpenRequestsIsGivenBackHoweverARequestEnds() {
+    Fixtures f = new Fixtures(Fixtures.settings(true, 5, false)).backends(4);
+    placed(f, "safe");
+    f.total(2);
+    f.outcome(f.only(Send.class), 0, Status.OK, true);
+    assertEquals(-1, f.only(Add.class).amount(), "served");
+    f.total(0);
+    placed(f, "unsafe");
+    f.total(1);
+    f.outcome(f.only(Send.class), 0, Status.ERROR, false);
+    assertTrue(f.did(Fail.class));
+    assertEquals(-1, f.only(Add.class).amount(), "failed");
+    f.total(0);
+    placed(f, "safe");
+    f.total(3);
+    assertTrue(f.did(Refuse.class));
+    assertEquals(-1, f.only(Add.class).amount(), "refused, as others have all places");
+    f.total(0);
+    String left = placed(f, "safe");
+    f.on(new ClientLeft(left));
+    assertFalse(f.did(Add.class), "it is not known yet whether it was added");
+    f.total(1);
+    assertEquals(-1, f.only(Add.class).amount(), "left by its client");
+    assertFalse(f.did(Send.class));
+    f.total(0);
+    String gone = placed(f, "safe");
+    f.on(new ClientLeft(gone)).callFails(Status.REJECTED);
+    assertFalse(f.did(Add.class), "nothing was added");
+  }
+
+  private static String placed(Fixtures f, String className) {
+    String id = "placed at " + f.now;
+    f.pass(1).on(new Request(id, Fixtures.type(className), "narrow", 42, 5, 1, f.now + 4000));
+    assertEquals(1, f.only(Add.class).amount());
+    assertFalse(f.did(Send.class));
+    return id;
+  }
+
   @Test
   void withoutACounterTheQuotaIsSplitEvenly() {
     Fixtures f = new Fixtures(Fixtures.settings(false, 2, false)).backends(4);
