--- a/src/test/java/willowdoor/FleetTest.java
+++ b/src/test/java/willowdoor/FleetTest.java
@@ -222,7 +222,9 @@
       for (Map.Entry<Fixtures, Send> e : List.copyOf(open)) {
         if (e.getKey().now - since.get(e.getValue().request()) >= 250) {
           open.remove(e);
-          answer(e.getKey(), e.getValue(), Status.OK, world);
+          Send s = e.getValue();
+          e.getKey().on(new Outcome(s.request(), 0, s.backend(), Status.OK, 250, true, 0, null));
+          hand(e.getKey(), world);
         }
       }
     }
