Let a customer in that is met for the first time while the counter is away

Ruled out by reading: the shared count itself, as it refuses nothing while places are free. At fault: Account began its part of the places with a random share below one, and checkAlone wants a whole one: the first request of a customer at a front door was always refused while the counter was not asked, and through 50 to 100 front doors nearly every request is such a first one. It now begins with a whole one.

--- a/src/main/java/willowdoor/QuotaPolicy.java
+++ b/src/main/java/willowdoor/QuotaPolicy.java
@@ -7,7 +7,8 @@
 /**
  * All decisions of one gateway. Its interface (settings, events, actions) is GatewayApi.java in this folder.
  * The ordinary path: each request's estimate is added to its customer's shared count, refused if the answer
- * shows that it passes the plan's quota, and settled by the true units (docs/design.md tells the departures).
+ * shows that it passes the plan's quota, and settled by the true units. A cap on open requests has a count of
+ * its own in the same way, settled by giving the place back.
  * One instance a gateway, one thread; time comes with the events.
  */
 public final class QuotaPolicy {
@@ -172,8 +173,9 @@
       phase = Math.floorMod(customer * 0x9E3779B97F4A7C15L, (long) WINDOW_MS);
       level = settings.allowed().sharedCount() ? plan.burst() : plan.burst() / this.gateways;
       fillCeiling((now - startedAt) / 1000);
-      openPart = random.nextDouble();
-      part = openPart * settings.maxUnits();
+      part = random.nextDouble() * settings.maxUnits();
+      // Most customers use little of their cap, so one that is met for the first time is let in.
+      openPart = 1;
       othersRate = plan.rate() * (plain ? USUAL_USE : 1 - 1.0 / this.gateways);
     }
 
--- a/src/test/java/willowdoor/QuotaPolicyTest.java
+++ b/src/test/java/willowdoor/QuotaPolicyTest.java
@@ -204,6 +204,18 @@
     assertFalse(f.did(Add.class), "nothing was added");
   }
 
+  /** With many gateways nearly every request is a customer's first at this one for long. */
+  @Test
+  void aCustomerMetWhileTheCounterIsAwayFindsAPlace() {
+    Fixtures f = new Fixtures(Fixtures.settings(true, 5, false)).backends(4);
+    placed(f, "safe");
+    f.callFails(Status.REJECTED);
+    assertTrue(f.did(Send.class));
+    placed(f, "safe");
+    f.callFails(Status.REJECTED);
+    assertTrue(f.did(Refuse.class), "its part of the cap is in use");
+  }
+
   private static String placed(Fixtures f, String className) {
     String id = "placed at " + f.now;
     f.pass(1).on(new Request(id, Fixtures.type(className), "narrow", 42, 5, 1, f.now + 4000));
