--- a/src/test/java/willowdoor/net/BackendPoolTest.java
+++ b/src/test/java/willowdoor/net/BackendPoolTest.java
@@ -143,6 +143,26 @@
     assertFalse(dialled.isOpen());
   }
 
+  /** The same over a real connection: the clock moves on between the connecting and the loop's next look. */
+  @Test
+  void aConnectionThatIsUpAfterTheTimeToWriteCarriesNothing() throws Exception {
+    try (ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+      server.setSoTimeout(10_000);
+      loop.submit(() -> {
+        BackendPool pool = new BackendPool(loop, new Clock(nanos::get), Dialer.sockets(loop, 5_000), 10_000,
+            new Places(100));
+        pool.onRoster(news(server.getLocalPort()));
+        pool.start(1, attempt(60_000), 20_000);
+        nanos.addAndGet(TimeUnit.SECONDS.toNanos(21));
+      }).sync();
+      try (Socket taken = server.accept()) {
+        taken.setSoTimeout(10_000);
+        assertEquals(-1, taken.getInputStream().read());
+      }
+      assertEquals(Status.NOT_SENT, Peers.next(ends));
+    }
+  }
+
   @Test
   void anAttemptWhoseConnectionIsThereInTimeIsWritten() {
     slowPool().start(1, attempt(1_000), 200);
