Close an abandoned attempt's connection before its end lets the next one go out

Cause: Attempt.abandon ended the attempt, which lets the module send the next one, and closed the connection only after that; a second copy could be on the wire while the first was still out on an open connection, which the protocol counts against classes that may run only once. Ruled out: a cancellation that the module asks for, as its outcome waits in the driver's inbox until the connection is closed. Left: the timers of an attempt. Change: the connection is closed under the attempt first; one place does both. Test: an attempt's end finds its connection closed. It fails without the change. Lines at fault: Attempt.abandon, end before close.

--- a/src/main/java/willowdoor/net/Attempt.java
+++ b/src/main/java/willowdoor/net/Attempt.java
@@ -103,16 +103,18 @@
     }
   }
 
-  /** Stops waiting. The connection is given up with it, as an answer may still come on it. */
+  /**
+   * Stops waiting. The connection is closed first, as an answer may still come on it, and as the end may make
+   * the module send the next attempt at once: one copy at a time is out on an open connection.
+   */
   final void abandon(Status status) {
     if (ended) {
       return;
     }
-    BackendConnection used = connection;
-    end(status, null);
-    if (used != null) {
-      used.close();
+    if (connection != null) {
+      connection.closeUnder();
     }
+    end(status, null);
   }
 
   /** An answer begins that is too large to be held; true if it is wanted. */
--- a/src/main/java/willowdoor/net/BackendConnection.java
+++ b/src/main/java/willowdoor/net/BackendConnection.java
@@ -88,6 +88,13 @@
     channel.close();
   }
 
+  /** Closes the connection under its attempt, which its caller ends: nothing that still comes is for it. */
+  void closeUnder() {
+    current = null;
+    forget();
+    close();
+  }
+
   /**
    * Writes the attempt's request; nothing below the module ever writes it again. It tells the time that is
    * left by now, as the connection may have been long in coming up.
--- a/src/test/java/willowdoor/net/BackendPoolTest.java
+++ b/src/test/java/willowdoor/net/BackendPoolTest.java
@@ -23,6 +23,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
@@ -163,6 +164,26 @@
     }
   }
 
+  /** The module may send the next attempt as soon as one has ended: no copy may be left open by then. */
+  @Test
+  void anAbandonedAttemptEndsBehindItsConnection() {
+    List<Boolean> openAtEnd = new ArrayList<>();
+    Attempt attempt = new Attempt(new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/quote/1"),
+        Body.of(Unpooled.EMPTY_BUFFER), 1_000) {
+      @Override
+      void onEnd(Status status, FullHttpResponse answer) {
+        openAtEnd.add(dialled.isOpen());
+        ends.add(status);
+      }
+    };
+    slowPool().start(1, attempt, FOREVER);
+    connectAfter(1_000);
+    dialled.releaseOutbound();
+    attempt.abandon(attempt.cancelled());
+    assertEquals(List.of(false), openAtEnd);
+    assertEquals(List.of(Status.CANCELLED), List.copyOf(ends));
+  }
+
   @Test
   void anAttemptWhoseConnectionIsThereInTimeIsWritten() {
     slowPool().start(1, attempt(1_000), 200);
