Count an attempt's times from the module's decision, up to its last byte

Cause: Send.startMs and timeoutMs are counted from the event that the module decided on, but the driver counted them anew from when it came to the action. A batch of actions, or a pause, on a share of a core takes tens of milliseconds; a keyed repeat decided just ahead of the end of its window was then written behind it. On an idle connection nothing checked the limit at all, and where the backend reads slowly nothing held it at the last byte, which is what the protocol counts. Change: the driver takes off what has passed since the decision, an attempt with no time left is not sent, and one that is not written whole by its limit is given up, which closes its connection. Tests: a repeat on a clock on which each reading takes 40 ms, and one of 60 kB to a backend that reads nothing. Both fail without the change. Lines at fault: ModuleDriver.send, BackendPool.start and connect.

--- a/src/main/java/willowdoor/net/BackendPool.java
+++ b/src/main/java/willowdoor/net/BackendPool.java
@@ -124,16 +124,28 @@
     }
   }
 
-  /** Starts an attempt on an idle connection, or on a new one that comes up within startMs. */
+  /** Gives an attempt up that is not written whole after that time: its last byte must not go out later. */
+  private void limitWrite(Attempt attempt, double startMs) {
+    if (startMs < Double.POSITIVE_INFINITY) {
+      loop.schedule(() -> {
+        if (!attempt.written) {
+          attempt.abandon(attempt.overdue());
+        }
+      }, (long) (startMs * 1000), TimeUnit.MICROSECONDS);
+    }
+  }
+
+  /** Starts an attempt on an idle connection, or on a new one; it is written whole within startMs, or fails. */
   void start(long id, Attempt attempt, double startMs) {
     Backend b = backends.get(id);
-    if (b == null) {
+    if (b == null || startMs <= 0 || attempt.timeoutMs <= 0) {
       attempt.end(Status.NOT_SENT, null);
       return;
     }
     attempt.dueAt = clock.now() + attempt.timeoutMs;
     attempt.writeBy = clock.now() + startMs;
     limit(attempt, attempt.timeoutMs);
+    limitWrite(attempt, startMs);
     BackendConnection c = idle(b, attempt);
     if (c != null) {
       c.carry(attempt);
@@ -180,13 +192,6 @@
         channel.pipeline().addLast(decoder, new HttpRequestEncoder(), c);
       }
     });
-    if (attempt.writeBy < Double.POSITIVE_INFINITY) {
-      loop.schedule(() -> {
-        if (attempt.connection == null) {
-          attempt.abandon(Status.NOT_SENT);
-        }
-      }, Math.max(0, (long) ((attempt.writeBy - clock.now()) * 1000)), TimeUnit.MICROSECONDS);
-    }
     connected.addListener((ChannelFuture f) -> {
       b.connecting.remove(attempt);
       // Guards against writing what has timed out, was cancelled or must not reach a drained backend.
--- a/src/main/java/willowdoor/net/ModuleDriver.java
+++ b/src/main/java/willowdoor/net/ModuleDriver.java
@@ -142,7 +142,8 @@
 
   void start(CounterClient counter, RosterNews known) {
     this.counter = counter;
-    policy.start(clock.now()).forEach(this::execute);
+    double decidedAt = clock.now();
+    policy.start(decidedAt).forEach(action -> execute(action, decidedAt));
     backends.onRoster(known);
     deliver(new Roster(RosterForm.REMEMBERED, known.entries()));
   }
@@ -244,8 +245,9 @@
 
   private void step(Event event) {
     List<Action> actions;
+    double decidedAt = clock.now();
     try {
-      actions = policy.on(clock.now(), event);
+      actions = policy.on(decidedAt, event);
     } catch (RuntimeException e) {
       LOG.log(Level.SEVERE, "the module failed on " + event, e);
       recover(event);
@@ -253,7 +255,7 @@
     }
     for (Action action : actions) {
       try {
-        execute(action);
+        execute(action, decidedAt);
       } catch (RuntimeException e) {
         LOG.log(Level.SEVERE, "could not do " + action, e);
       }
@@ -278,9 +280,9 @@
     }
   }
 
-  private void execute(Action action) {
+  private void execute(Action action, double decidedAt) {
     if (action instanceof Send a) {
-      send(a);
+      send(a, decidedAt);
     } else if (action instanceof Add a) {
       counter.add(a.name(), a.amount(), a.ttlMs());
     } else if (action instanceof WakeAt a) {
@@ -314,7 +316,8 @@
         TimeUnit.MICROSECONDS);
   }
 
-  private void send(Send a) {
+  /** The module's times count from its decision; a batch of actions may take long on a share of a core. */
+  private void send(Send a, double decidedAt) {
     Live r = live.get(a.request());
     if (r == null || r.finished) {
       int attempt = r == null ? 0 : r.attempts.size();
@@ -323,7 +326,8 @@
     }
     int number = r.attempts.size();
     double sentAt = clock.now();
-    double timeout = a.timeoutMs() > 0 ? a.timeoutMs() : r.giveUpMs - sentAt;
+    double lateness = sentAt - decidedAt;
+    double timeout = a.timeoutMs() > 0 ? a.timeoutMs() - lateness : r.giveUpMs - sentAt;
     Attempt attempt = new Attempt(r.head, r.body, timeout) {
       private double units;
 
@@ -348,7 +352,7 @@
     };
     r.attempts.add(attempt);
     r.out++;
-    backends.start(a.backend(), attempt, a.startMs());
+    backends.start(a.backend(), attempt, a.startMs() - lateness);
   }
 
   private boolean attemptBegan(Live r, int number, HttpResponse answer, Attempt attempt) {
--- a/src/test/java/willowdoor/net/BackendPoolTest.java
+++ b/src/test/java/willowdoor/net/BackendPoolTest.java
@@ -7,8 +7,10 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -41,6 +43,7 @@
 @Timeout(30)
 class BackendPoolTest {
 
+  private static final int FEW_BYTES = 4 * 1024;
   private static final double FOREVER = Double.POSITIVE_INFINITY;
 
   private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, Transport.BEST.ioHandler());
@@ -69,8 +72,12 @@
   }
 
   private Attempt attempt(HttpMethod method, double timeoutMs) {
-    return new Attempt(new DefaultHttpRequest(HttpVersion.HTTP_1_1, method, "/quote/1"),
-        Body.of(Unpooled.EMPTY_BUFFER), timeoutMs) {
+    return attempt(new DefaultHttpRequest(HttpVersion.HTTP_1_1, method, "/quote/1"),
+        Body.of(Unpooled.EMPTY_BUFFER), timeoutMs);
+  }
+
+  private Attempt attempt(DefaultHttpRequest head, Body body, double timeoutMs) {
+    return new Attempt(head, body, timeoutMs) {
       @Override
       void onEnd(Status status, FullHttpResponse answer) {
         ends.add(status);
@@ -164,6 +171,33 @@
     }
   }
 
+  /** A backend that reads slowly must not get the last byte of a repeat behind its window. */
+  @Test
+  void anAttemptThatIsNotWrittenWholeInTimeIsGivenUpUnwritten() throws Exception {
+    int size = 60_000;
+    try (ServerSocket server = new ServerSocket()) {
+      server.setReceiveBufferSize(FEW_BYTES);
+      server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+      server.setSoTimeout(10_000);
+      Bootstrap bootstrap = new Bootstrap().group(loop).channel(Transport.BEST.socket())
+          .option(ChannelOption.SO_SNDBUF, FEW_BYTES);
+      Dialer fewBytes = (address, handler) -> bootstrap.clone().handler(handler).connect(address);
+      loop.submit(() -> {
+        BackendPool pool = new BackendPool(loop, new Clock(), fewBytes, 10_000, new Places(100));
+        pool.onRoster(news(server.getLocalPort()));
+        DefaultHttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/buy/1");
+        head.headers().set("Content-Length", size);
+        pool.start(1, attempt(head, Body.of(Unpooled.wrappedBuffer(new byte[size])), 20_000), 200);
+      }).sync();
+      try (Socket taken = server.accept()) {
+        assertEquals(Status.BROKEN, Peers.next(ends));
+        taken.setSoTimeout(10_000);
+        int came = taken.getInputStream().readAllBytes().length;
+        assertTrue(came < size, came + " bytes of " + size + " came");
+      }
+    }
+  }
+
   /** The module may send the next attempt as soon as one has ended: no copy may be left open by then. */
   @Test
   void anAbandonedAttemptEndsBehindItsConnection() {
--- a/src/test/java/willowdoor/net/CrossingTest.java
+++ b/src/test/java/willowdoor/net/CrossingTest.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
@@ -24,6 +25,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -44,7 +46,11 @@
   private final Peers peers = new Peers();
   private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, Transport.BEST.ioHandler());
   private final EventLoop loop = group.next();
-  private final Clock clock = new Clock();
+  private final AtomicLong offsetNanos = new AtomicLong();
+  /** What each reading of the clock takes, as where a share of a core is used up. */
+  private final AtomicLong nanosForEachReading = new AtomicLong();
+  private final Clock clock =
+      new Clock(() -> System.nanoTime() + offsetNanos.addAndGet(nanosForEachReading.get()));
   private final BlockingQueue<String> answers = new LinkedBlockingQueue<>();
   private final ServerSocket first = listen();
   private final ServerSocket second = listen();
@@ -76,15 +82,19 @@
 
   /** A driver whose module asks no counter and knows the first backend; to be called on the loop. */
   private void start() throws IOException {
-    settings = Peers.parse(peers.config().replace("\"Counter\":true", "\"Counter\":false")).settings();
+    settings = Peers.parse(peers.config().replace("\"Counter\":true", "\"Counter\":false")
+        .replace("\"RepeatWindowMs\":4000", "\"RepeatWindowMs\":1000")).settings();
     driver = new ModuleDriver(loop, clock, new QuotaPolicy(settings, 1),
         new BackendPool(loop, clock, Dialer.sockets(loop, 5_000), 10_000, new Places(100)));
     driver.start(null, news(true, 1, first, Phase.SERVING, 0));
   }
 
   private void take(String id) {
-    driver.take(new Request(id, settings.classes().get(0), "basic", 1, 1, 1, clock.now() + 4_000),
-        new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/quote/" + id),
+    take(id, 0, new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/quote/" + id));
+  }
+
+  private void take(String id, int type, HttpRequest head) {
+    driver.take(new Request(id, settings.classes().get(type), "basic", 1, 1, 1, clock.now() + 4_000), head,
         Body.of(Unpooled.EMPTY_BUFFER), new ModuleDriver.Client() {
           @Override
           public void served(FullHttpResponse answer) {
@@ -210,6 +220,58 @@
     assertEquals("served", Peers.next(answers));
   }
 
+  /** The window of repeats ends between the module's decision and the write, as each step takes 40 ms. */
+  @Test
+  void aRepeatIsNotWrittenBehindItsWindowWhereTheLoopIsSlow() throws Exception {
+    loop.submit(() -> {
+      start();
+      take("r1");
+      take("r2");
+      return null;
+    }).sync();
+    Socket one = first.accept();
+    Socket two = first.accept();
+    answerAny(one);
+    answerAny(two);
+    HttpRequest keyed = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/buy/r3");
+    keyed.headers().set(Headers.IDEMPOTENCY_KEY, "key").set("Content-Length", 0);
+    loop.submit(() -> {
+      offsetNanos.addAndGet(TimeUnit.MILLISECONDS.toNanos(20));
+      take("r3", 1, keyed);
+    }).sync();
+    Socket used = waitForRequest(one, two);
+    assertEquals("POST /buy/r3 HTTP/1.1", Peers.read(used.getInputStream()).firstLine());
+    double window = settings.classes().get(1).repeatWindowMs();
+    loop.submit(() -> {
+      offsetNanos.addAndGet(TimeUnit.MILLISECONDS.toNanos((long) window - 110));
+      nanosForEachReading.set(TimeUnit.MILLISECONDS.toNanos(40));
+      used.setSoLinger(true, 0);
+      used.close();
+      return null;
+    }).sync();
+    assertNotEquals("served", Peers.next(answers));
+    assertEquals(0, (used == one ? two : one).getInputStream().available());
+  }
+
+  private void answerAny(Socket backend) throws Exception {
+    backend.setSoTimeout(10_000);
+    Peers.read(backend.getInputStream());
+    Peers.write(backend.getOutputStream(), Peers.OK);
+    assertEquals("served", Peers.next(answers));
+  }
+
+  private static Socket waitForRequest(Socket one, Socket two) throws IOException {
+    while (true) {
+      if (one.getInputStream().available() > 0) {
+        return one;
+      }
+      if (two.getInputStream().available() > 0) {
+        return two;
+      }
+      Thread.onSpinWait();
+    }
+  }
+
   /** At the last call what is half read is refused, and so is what waits behind a request. */
   @Test
   void theEndComesBeforeTheRestOfARequest() throws Exception {
