Keep an epoll event of a closed socket from the socket that took its number

Cause: epoll gives a batch of events by descriptor number, and Netty 4.2.18 looks each up by its number when its turn comes (EpollIoHandler.processReady). Where an earlier event of the batch has a socket closed (an idle connection evicted or given up, an attempt called off), and another one opens a socket (an accept, a dial), the new socket gets the number, and then the old socket's event. A hang-up among these - takes EPOLLRDHUP off an open connection for good (AbstractEpollUnsafe.epollRdHupReady). When its reading is paused next, nothing is left to watch for, and DefaultEpollIoRegistration.submit deletes it from epoll but goes on taking it as added; when reading goes on, the change fails with ENOENT, and the connection is closed; - closes a connection that is being opened: its attempt ends as though nothing lived at that address. It needs large batches, so a loop that is held up.

Ruled out by reading Netty: that the exception went up through the caller into another connection. AbstractUnsafe.beginRead and clearEpollIn0 catch what epoll throws, tell it to the socket's own pipeline and close that socket; the stack only shows who asked. Ruled out by trial: a client or backend that really hangs up while its reading is paused; Netty then reads to the end at once. Also a read switched on a closed socket: its registration is cancelled before its descriptor is closed.

Change: StaleEventFilter stands around Netty's epoll handler and drops what a batch tells a socket that was registered during that batch. The events are level-triggered, so what is true of the new socket comes again.

At fault: Transport.BEST, which took EpollIoHandler as it is.

--- a/src/main/java/willowdoor/net/Transport.java
+++ b/src/main/java/willowdoor/net/Transport.java
@@ -9,7 +9,6 @@
 import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.epoll.Epoll;
 import io.netty.channel.epoll.EpollChannelOption;
-import io.netty.channel.epoll.EpollIoHandler;
 import io.netty.channel.epoll.EpollServerSocketChannel;
 import io.netty.channel.epoll.EpollSocketChannel;
 import io.netty.channel.nio.NioIoHandler;
@@ -31,7 +30,7 @@
     Class<? extends ServerSocketChannel> serverSocket, ChannelOption<Boolean> reusePort) {
 
   static final Transport BEST = Epoll.isAvailable()
-      ? new Transport(EpollIoHandler.newFactory(), EpollSocketChannel.class, EpollServerSocketChannel.class,
+      ? new Transport(StaleEventFilter.newFactory(), EpollSocketChannel.class, EpollServerSocketChannel.class,
           EpollChannelOption.SO_REUSEPORT)
       : new Transport(NioIoHandler.newFactory(), NioSocketChannel.class, NioServerSocketChannel.class,
           NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT));
