Forget an attempt whose answer breaks while its client's socket is closed already

Symptom, in a test over real sockets: a client resets its connection while an answer is passed on to it, and in the same turn the answer proves broken. The request stays in ModuleDriver's table for ever: its id counts as in use, the module never hears of the attempt's end, and the backend's share of open attempts stays taken.

Cause: the client's socket is closed at once, but its pipeline hears of that only after the turn. Between the two ClientConnection.passed sets SO_LINGER on it. Netty uses the number that the descriptor had: the call throws, out of the backend's event, through Attempt.end and ModuleDriver.attemptEnded, which then neither tells the module of the outcome nor forgets the request. Where the number has been taken meanwhile, the call succeeds on the other socket, and that connection's close becomes a reset, which may drop the end of an answer that its client has not read. Ruled out by reading: the other calls across connections (setAutoRead, writeAndFlush, close, shutdownOutput); Netty turns what they throw into an event or a failed future of their own channel.

Change: Transport.reset sets the option on an open socket only, and keeps a failure of it to itself.

At fault: ClientConnection.passed, the setOption before its close.

--- a/src/main/java/willowdoor/net/ClientConnection.java
+++ b/src/main/java/willowdoor/net/ClientConnection.java
@@ -6,7 +6,6 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.CodecException;
@@ -514,8 +513,7 @@
     if (!whole) {
       ending = true;
       dropWaiting();
-      channel.config().setOption(ChannelOption.SO_LINGER, 0);
-      channel.close();
+      Transport.reset(channel);
     } else if (keepAlive) {
       proceed();
     } else {
--- a/src/main/java/willowdoor/net/Transport.java
+++ b/src/main/java/willowdoor/net/Transport.java
@@ -59,6 +59,21 @@
     }
   }
 
+  /**
+   * Ends a connection with a reset. One whose socket is closed is left alone, though its pipeline may not have
+   * heard of that yet: the option would fail, or go to the socket that has the descriptor's number by now.
+   */
+  static void reset(Channel channel) {
+    if (channel.isOpen()) {
+      try {
+        channel.config().setOption(ChannelOption.SO_LINGER, 0);
+      } catch (ChannelException e) {
+        LOG.warning("cannot reset a connection: " + e.getMessage());
+      }
+      channel.close();
+    }
+  }
+
   /** Reads of up to 32 KiB, so that what waits to be written keeps no larger buffers from being freed. */
   static RecvByteBufAllocator smallReads() {
     return new AdaptiveRecvByteBufAllocator(1_024, 2_048, 32 * 1_024);
--- a/src/test/java/willowdoor/net/PassingTest.java
+++ b/src/test/java/willowdoor/net/PassingTest.java
@@ -315,6 +315,48 @@
     assertThrows(IOException.class, () -> broken.rest());
   }
 
+  /** The client's socket is closed already when the answer proves broken: the attempt ends all the same. */
+  @Test
+  void anAnswerThatBreaksJustAfterItsClientHasLeftIsForgotten() throws Exception {
+    CountDownLatch left = new CountDownLatch(1);
+    CountDownLatch broken = new CountDownLatch(1);
+    peers.answer = (request, out) -> {
+      Peers.write(out, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+      Peers.write(out, "20000\r\n" + "x".repeat(0x20000) + "\r\n");
+      pause(left);
+      Peers.write(out, "no chunk\r\n");
+      broken.countDown();
+      return true;
+    };
+    FrontDoor door = peers.start();
+    Client client = peers.client();
+    client.send(Peers.get("r1", 3000));
+    client.socket.getInputStream().readNBytes(0x20000);
+    CountDownLatch standing = new CountDownLatch(1);
+    door.loop.execute(() -> {
+      standing.countDown();
+      try {
+        broken.await(10, TimeUnit.SECONDS);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    });
+    standing.await();
+    client.socket.setSoLinger(true, 0);
+    client.close();
+    left.countDown();
+    assertTrue(broken.await(10, TimeUnit.SECONDS));
+    long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
+    while (held(door) > 0 && System.nanoTime() < until) {
+      Thread.onSpinWait();
+    }
+    assertEquals(0, held(door));
+  }
+
+  private static int held(FrontDoor door) throws Exception {
+    return door.loop.submit(() -> door.clients().driver().held()).sync().getNow();
+  }
+
   private static void pause(CountDownLatch until) throws IOException {
     try {
       until.await(10, TimeUnit.SECONDS);
