--- a/src/main/java/willowdoor/net/BackendPool.java
+++ b/src/main/java/willowdoor/net/BackendPool.java
@@ -41,7 +41,7 @@
     private final Set<Attempt> connecting = new HashSet<>();
 
     private void release(List<Attempt> unsent) {
-      List.copyOf(idle).forEach(BackendConnection::close);
+      Sweep.each(idle, BackendConnection::close);
       unsent.addAll(connecting);
     }
   }
@@ -62,7 +62,7 @@
     this.idleLimitMs = idleLimitMs * RETIRE_AT;
     this.places = places;
     this.dialer = dialer;
-    loop.scheduleWithFixedDelay(this::retireIdle, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+    Sweep.every(loop, SWEEP_MS, this::retireIdle);
   }
 
   /**
@@ -96,7 +96,7 @@
     // Only now, as what is given up may go to any backend of the list at once.
     List<Attempt> unsent = new ArrayList<>();
     left.forEach(b -> b.release(unsent));
-    unsent.forEach(a -> a.abandon(Status.NOT_SENT));
+    Sweep.each(unsent, a -> a.abandon(Status.NOT_SENT));
   }
 
   /** Guards the rule on drains: an attempt that still waits for its connection is not written any more. */
--- a/src/main/java/willowdoor/net/ClientServer.java
+++ b/src/main/java/willowdoor/net/ClientServer.java
@@ -15,9 +15,7 @@
 import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
 import java.util.LinkedHashSet;
-import java.util.List;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import willowdoor.GatewayApi.Request;
 
 /** Accepts clients, and tells their connections what all of them share. */
@@ -61,7 +59,7 @@
     this.bounds = bounds;
     this.places = places;
     this.lifecycle = lifecycle;
-    loop.scheduleWithFixedDelay(this::endOverdue, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+    Sweep.every(loop, SWEEP_MS, this::endOverdue);
   }
 
   ChannelFuture listen(EventLoopGroup group, InetSocketAddress address) {
@@ -207,7 +205,7 @@
 
   private void endOverdue() {
     double now = clock.now();
-    List.copyOf(connections).forEach(c -> c.endIfOverdue(now));
+    Sweep.each(connections, c -> c.endIfOverdue(now));
   }
 
   /** Takes what waits to be taken, and no more connections. */
@@ -222,7 +220,7 @@
   void end() {
     over = true;
     driver.failAll();
-    List.copyOf(connections).forEach(ClientConnection::endUnasked);
+    Sweep.each(connections, ClientConnection::endUnasked);
   }
 
   boolean over() {
--- a/src/main/java/willowdoor/net/CounterClient.java
+++ b/src/main/java/willowdoor/net/CounterClient.java
@@ -90,7 +90,7 @@
     if (counter != null) {
       open();
     }
-    loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+    Sweep.every(loop, SWEEP_MS, this::sweep);
   }
 
   private void open() {
@@ -107,12 +107,12 @@
       return;
     }
     counter = other;
-    List.copyOf(leaving).forEach(Link::close);
+    Sweep.each(leaving, Link::close);
     leaving.addAll(links);
     links.clear();
     open();
     List<Link> old = List.copyOf(leaving);
-    loop.schedule(() -> old.forEach(Link::close), LEAVE_MS, TimeUnit.MILLISECONDS);
+    loop.schedule(() -> Sweep.each(old, Link::close), LEAVE_MS, TimeUnit.MILLISECONDS);
   }
 
   void add(String name, double amount, double ttlMs) {
@@ -184,9 +184,7 @@
 
   private void sweep() {
     double now = clock.now();
-    for (Link l : links) {
-      l.check(now);
-    }
+    Sweep.each(links, l -> l.check(now));
   }
 
   /** The lines of one connection. */
--- a/src/main/java/willowdoor/net/ModuleDriver.java
+++ b/src/main/java/willowdoor/net/ModuleDriver.java
@@ -214,7 +214,7 @@
 
   /** Fails all that is still unanswered: the process is about to end. */
   void failAll() {
-    List.copyOf(live.values()).forEach(this::fail);
+    Sweep.each(live.values(), this::fail);
   }
 
   /** The net under the module: a request that it left unanswered fails while its client still listens. */
--- a/src/test/java/willowdoor/net/BadClientTest.java
+++ b/src/test/java/willowdoor/net/BadClientTest.java
@@ -4,8 +4,13 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelConfig;
+import io.netty.channel.embedded.EmbeddedChannel;
 import java.io.IOException;
 import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -78,6 +83,39 @@
     assertTrue(places.roomForBackend());
   }
 
+  /** A loop never again runs a task that has thrown: the others would hold their places for good. */
+  @Test
+  void theOverdueAreEndedThoughOneConnectionFails() throws Exception {
+    FrontDoor door = peers.start();
+    Client silent = peers.client();
+    FailingChannel failing = door.loop.submit(() -> {
+      FailingChannel channel = new FailingChannel();
+      door.clients().adopt(channel);
+      channel.writeInbound(Unpooled.copiedBuffer(Peers.post("r1", "body").replace("body", "b"),
+          StandardCharsets.ISO_8859_1));
+      channel.fails = true;
+      return channel;
+    }).sync().getNow();
+    assertTrue(failing.asked.await(10, TimeUnit.SECONDS));
+    assertTrue(silent.ended());
+    assertEquals(200, peers.client().ask(Peers.get("r2", 3000)).status());
+  }
+
+  /** One that throws when it is asked whether it reads. */
+  private static final class FailingChannel extends EmbeddedChannel {
+    final CountDownLatch asked = new CountDownLatch(1);
+    boolean fails;
+
+    @Override
+    public ChannelConfig config() {
+      if (fails) {
+        asked.countDown();
+        throw new IllegalStateException("as a test has it");
+      }
+      return super.config();
+    }
+  }
+
   @Test
   void aTrickleDoesNotExtendTheTimeForARequest() throws Exception {
     peers.start();
