--- a/src/main/java/willowdoor/net/BackendPool.java
+++ b/src/main/java/willowdoor/net/BackendPool.java
@@ -135,7 +135,7 @@
     }
   }
 
-  /** Starts an attempt on an idle connection, or on a new one; it is written whole within startMs, or fails. */
+  /** Starts an attempt on an idle connection, or on a new one; it is written whole in startMs, or fails. */
   void start(long id, Attempt attempt, double startMs) {
     Backend b = backends.get(id);
     if (b == null || startMs <= 0 || attempt.timeoutMs <= 0) {
--- a/src/main/java/willowdoor/net/Transport.java
+++ b/src/main/java/willowdoor/net/Transport.java
@@ -60,8 +60,8 @@
   }
 
   /**
-   * Ends a connection with a reset. One whose socket is closed is left alone, though its pipeline may not have
-   * heard of that yet: the option would fail, or go to the socket that has the descriptor's number by now.
+   * Ends a connection with a reset. One whose socket is closed is left alone, though its pipeline may not
+   * have heard of that yet: the option would fail, or go to the socket that has its number by now.
    */
   static void reset(Channel channel) {
     if (channel.isOpen()) {
--- a/src/test/java/willowdoor/net/StaleEventTest.java
+++ b/src/test/java/willowdoor/net/StaleEventTest.java
@@ -68,8 +68,8 @@
   }
 
   /**
-   * While the loop stands still there come, in this order: bytes for a connection whose handler closes others,
-   * a client that gets the number of one of these, and the hang-ups of these.
+   * While the loop stands still there come, in this order: bytes for a connection whose handler closes
+   * others, a client that gets the number of one of these, and the hang-ups of these.
    */
   @Test
   void theHangUpOfOneConnectionIsNotToldToAnother() throws Exception {
