Read a client's connection on once its large body has ended

Cause: reading pauses when a body is larger than is held (Body.add, large) or when its backend takes no more for now (Body.add, passTo). It went on only from Body.wanted, which does nothing once the body is whole. Where the last bytes of a body were those at which reading paused, nobody resumed it: no further request on that connection was read, and neither was a close behind unread bytes. Change: the end of a body resumes reading (Body.end).

--- a/src/main/java/willowdoor/net/Body.java
+++ b/src/main/java/willowdoor/net/Body.java
@@ -67,9 +67,13 @@
     }
   }
 
-  /** Its last byte has come. */
+  /**
+   * Its last byte has come. Guards against a connection that is never read again: the last bytes may be those
+   * at which reading paused, and no room for more of this body will be told of any more. Harm: none.
+   */
   void end() {
     whole = true;
+    source.wants(true);
     if (sink != null) {
       sink.end();
     }
--- a/src/test/java/willowdoor/net/PassingTest.java
+++ b/src/test/java/willowdoor/net/PassingTest.java
@@ -85,6 +85,15 @@
     assertArrayEquals(body, Peers.next(peers.atBackend).body());
   }
 
+  /** The end of such a body comes with the bytes at which reading pauses. */
+  @Test
+  void aConnectionIsReadOnAfterABodyJustTooLargeToBeHeld() throws Exception {
+    peers.start();
+    Client client = peers.client();
+    assertEquals(200, client.ask(Peers.post("r1", "x".repeat(Body.MOST_HELD + 1))).status());
+    assertEquals(200, client.ask(Peers.get("r2", 3000)).status());
+  }
+
   /** Otherwise the whole answer would lie here for as long as its client likes. */
   @Test
   void aClientThatDoesNotReadStopsItsBackend() throws Exception {
