Hand no last byte of a large body on for a client that closed behind it

Cause: a body that is handed through is read only as fast as its request waits and its backend takes it. Where the kernel has no room for all of it, the close lies behind bytes that are still with the client, so nobody here can know of it when the attempt starts. ClientConnection.more then handed the last byte on, and the backend began, however long after the close. Change: before the last piece of such a body goes on, the kernel is asked for the close, which came with those bytes. Evidence: a body of 400,000 bytes whose client closes, or ends its sending, while the request waits for the counter: it reached the backend whole before, and does not now (ClientLeavingTest).

--- a/src/main/java/willowdoor/net/ClientConnection.java
+++ b/src/main/java/willowdoor/net/ClientConnection.java
@@ -277,6 +277,10 @@
   private void more(HttpContent content) {
     Incoming in = coming;
     in.bodyBytes += content.content().readableBytes();
+    if (content instanceof LastHttpContent && in.taken && left()) {
+      // The client closed behind its body long ago, maybe: a backend that gets no last byte does not begin.
+      return;
+    }
     if (content.decoderResult().isFailure() || in.tooLarge() && in.taken) {
       in.malformed = !in.tooLarge();
       if (in.taken) {
--- a/src/test/java/willowdoor/net/ClientLeavingTest.java
+++ b/src/test/java/willowdoor/net/ClientLeavingTest.java
@@ -27,8 +27,9 @@
 
   /** After this a connection to a backend is used again. */
   private static final long SETTLED_MS = 20;
-  /** More than is held of a body, and no more than the kernel holds beyond that. */
+  /** More than is held of a body, and no more than the kernel holds beyond that; and more than that. */
   private static final int READ_IN_PART = 150_000;
+  private static final int HUGE = 400_000;
   private static final String NEEDS_EPOLL = "only there the kernel tells of a close that was not read";
 
   /** How a client leaves: it closes, ends only its sending, or resets the connection. */
@@ -174,6 +175,19 @@
     assertNothingWasSent();
   }
 
+  /** The kernel has no room for all of such a body, so it hears of the close only when the rest is read. */
+  @ParameterizedTest
+  @EnumSource
+  void theCloseComesWithTheEndOfAHugeBody(Leaving leaving) throws Exception {
+    assumeTrue(Epoll.isAvailable(), NEEDS_EPOLL);
+    start(config());
+    Client client = peers.client();
+    OutputStream call = waitForCounter(client, post(HUGE));
+    leaving.by(client);
+    Peers.write(call, "ok 2\r\n");
+    assertNothingWasSent();
+  }
+
   @ParameterizedTest
   @EnumSource
   void aClientLeavesBeforeThereIsABackend(Leaving leaving) throws Exception {
