Watch discovery again after a call for which no socket was to be had

Cause: DiscoveryClient.Watch.connect opened the next watch when the channel of the one before closed. Where no channel could be made, as when descriptors have run out, Netty gives a future of a channel that never closes: later() was never called, and the front door stayed with its last list for good. Change: a connect that fails is followed by the next one by itself; such a channel is not closed either, which it cannot be. The sockets come from a Dialer, as those of the counter do, so that a test can have them fail.

--- a/src/main/java/willowdoor/net/Dialer.java
+++ b/src/main/java/willowdoor/net/Dialer.java
@@ -7,7 +7,7 @@
 import io.netty.channel.EventLoop;
 import java.net.InetSocketAddress;
 
-/** Opens connections to backends and to the counter. */
+/** Opens connections to backends, to the counter and to discovery. */
 interface Dialer {
 
   /** Connects; the handler sets the new channel up. */
--- a/src/main/java/willowdoor/net/DiscoveryClient.java
+++ b/src/main/java/willowdoor/net/DiscoveryClient.java
@@ -1,6 +1,5 @@
 package willowdoor.net;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.channel.Channel;
@@ -8,7 +7,6 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
@@ -36,7 +34,7 @@
   private static final Logger LOG = Logger.getLogger(DiscoveryClient.class.getName());
   private static final int MOST_LIST = 4 << 20;
   /** The agent is on this machine and answers at once: a watch that has not begun by then is broken. */
-  private static final long BEGIN_MS = 500;
+  static final long BEGIN_MS = 500;
   /**
    * Empty lines come every 2 s. What a silent watch misses counts as told 6 s after it fell silent: half of
    * that is left for watches after it, of which some may not begin.
@@ -53,21 +51,20 @@
   private final EventLoop loop;
   private final Clock clock;
   private final Consumer<RosterNews> listener;
-  private final Bootstrap bootstrap;
+  private final Dialer dialer;
   private long version;
   private double backoffMs = LEAST_BACKOFF_MS;
   private Watch watch;
   /** The one before, silent or at an address that is left: it may go on until the newer tells something. */
   private Watch before;
 
-  DiscoveryClient(EventLoop loop, Clock clock, InetSocketAddress agent, long version,
+  DiscoveryClient(EventLoop loop, Clock clock, Dialer dialer, InetSocketAddress agent, long version,
       Consumer<RosterNews> listener) {
     this.loop = loop;
     this.clock = clock;
+    this.dialer = dialer;
     this.version = version;
     this.listener = listener;
-    bootstrap = new Bootstrap().group(loop).channel(Transport.BEST.socket())
-        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) BEGIN_MS);
     watch = new Watch(agent);
   }
 
@@ -125,11 +122,14 @@
     }
 
     void connect() {
-      ChannelFuture connected = bootstrap.clone().handler(this).connect(agent);
+      ChannelFuture connected = dialer.dial(agent, this);
       channel = connected.channel();
       connected.addListener((ChannelFuture f) -> {
-        f.channel().closeFuture().addListener(closed -> later(this));
-        if (f.isSuccess()) {
+        if (!f.isSuccess()) {
+          // Where no socket was to be had there is no channel that could close.
+          later(this);
+        } else {
+          f.channel().closeFuture().addListener(closed -> later(this));
           heardAt = clock.now();
           DefaultFullHttpRequest ask = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET,
               "/discovery/hosts?stream=1&index=" + version);
@@ -155,7 +155,9 @@
     }
 
     void close() {
-      channel.close();
+      if (channel.isOpen()) {
+        channel.close();
+      }
     }
 
     @Override
