Let a cold backend's unused tokens lapse, so that gateways cannot save up a burst

Cause: QuotaPolicy.coldRoom let each gateway keep a token for a cold backend for as long as it liked (Math.min(1, coldTokens + ...)). Each token is a right share of what the fleet may send, but those of all gateways could be used in one moment: after a quiet time a burst brought a cold backend as many requests as there are gateways, whatever its rules bear.

What is saved up over all gateways is then at most what the fleet may send in one more span.

--- a/src/main/java/willowdoor/QuotaPolicy.java
+++ b/src/main/java/willowdoor/QuotaPolicy.java
@@ -755,12 +755,15 @@
   /**
    * Guards a backend that has just started, for whatever cause: it gets no more than its present part of what
    * a warm one gets from here, attempts of every kind included, or of what a single core does, shared by all
-   * gateways, where none is warm or this gateway is new. Harm: slower use of a fleet that comes back.
+   * gateways, where none is warm or this gateway is new. A token that is not used within the span in which a
+   * cold backend's load counts lapses, so that what the gateways have saved up cannot come all at once. Harm:
+   * slower use of a fleet that comes back.
    */
   private boolean coldRoom(Backend b) {
     double floor = 1000 / Math.max(1, fleetService) / settings.gateways();
     double rate = Math.max(sendsPerBackend(), floor) * b.warmShare(settings.rules(), now);
-    b.coldTokens = Math.min(1, b.coldTokens + rate * (now - b.coldAt) / 1000);
+    double lapsed = 1 + rate * settings.rules().tipAfterMs() / 1000;
+    b.coldTokens = (b.coldTokens + rate * (now - b.coldAt) / 1000) % lapsed;
     b.coldAt = now;
     return b.coldTokens >= 1;
   }
@@ -960,7 +963,7 @@
       return;
     }
     if (b.cold(settings.rules(), now)) {
-      b.coldTokens -= 1;
+      b.coldTokens = 0;
     }
     sendRate = sendRate * Math.exp((sendsAt - now) / PRESSURE_LIFE_MS) + 1000 / PRESSURE_LIFE_MS;
     sendsAt = now;
