Keep lines of the pool and of the tests on leaving and discovery within 110 columns

Cause: checkstyle found three lines of 111 and 112 columns in BackendPool.connect, ClientLeavingTest and DiscoveryFailuresTest, which failed `mvn verify`. Change: they are wrapped; nothing else.

--- a/src/main/java/willowdoor/net/BackendPool.java
+++ b/src/main/java/willowdoor/net/BackendPool.java
@@ -197,8 +197,8 @@
     });
     connected.addListener((ChannelFuture f) -> {
       b.connecting.remove(attempt);
-      // Guards against writing what has timed out, was cancelled or must not reach a drained backend, and what
-      // is for a client that has left.
+      // Guards against writing what has timed out, was cancelled or must not reach a drained backend, and
+      // what is for a client that has left.
       if (!attempt.wanted()) {
         f.channel().close();
       } else if (f.isSuccess() && clock.now() > attempt.writeBy) {
--- a/src/test/java/willowdoor/net/ClientLeavingTest.java
+++ b/src/test/java/willowdoor/net/ClientLeavingTest.java
@@ -162,7 +162,8 @@
 
   /** A large body is not read on while its request, or one before it, waits; the close is behind it. */
   @ParameterizedTest
-  @CsvSource({"CLOSE,false", "HALF_CLOSE,false", "RESET,false", "CLOSE,true", "HALF_CLOSE,true", "RESET,true"})
+  @CsvSource({"CLOSE,false", "HALF_CLOSE,false", "RESET,false", "CLOSE,true", "HALF_CLOSE,true",
+      "RESET,true"})
   void theCloseComesBehindABodyThatIsNotReadOn(Leaving leaving, boolean behindAnother) throws Exception {
     assumeTrue(Epoll.isAvailable(), NEEDS_EPOLL);
     start(config());
--- a/src/test/java/willowdoor/net/DiscoveryFailuresTest.java
+++ b/src/test/java/willowdoor/net/DiscoveryFailuresTest.java
@@ -28,7 +28,7 @@
 import org.junit.jupiter.api.Timeout;
 
 /**
- * A change counts as told 6 s after discovery had it and could be reached, whatever becomes of calls meanwhile.
+ * A change counts as told 6 s after discovery had it and could be reached, whatever becomes of calls.
  * Here a watch falls silent, which shows after 3 s, and the calls that follow it fail, as many of each kind
  * as the sum of their longest times leaves room for.
  */
