Take only what a watch of discovery tells for a sign of life

Cause: DiscoveryClient.Watch counted any byte against its silence. A head that came byte by byte put the end of a watch that never began off with each of them. Change: the time counts from the connecting, the head and the pieces of the body, in Unwrapper, which reads them anyway; the handler in front of the decoder is gone.

--- a/src/main/java/willowdoor/net/DiscoveryClient.java
+++ b/src/main/java/willowdoor/net/DiscoveryClient.java
@@ -5,7 +5,6 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -113,6 +112,7 @@
   private final class Watch extends ChannelInitializer<Channel> {
     private final InetSocketAddress agent;
     private final double since = clock.now();
+    /** When it was connected, began, or brought some of its body last: bytes of less are no sign of life. */
     private double heardAt = since;
     private boolean begun;
     private Channel channel;
@@ -163,13 +163,8 @@
     @Override
     protected void initChannel(Channel ch) {
       Messages messages = new Messages();
-      ch.pipeline().addLast(new ChannelInboundHandlerAdapter() {
-        @Override
-        public void channelRead(ChannelHandlerContext ctx, Object bytes) {
-          heardAt = clock.now();
-          ctx.fireChannelRead(bytes);
-        }
-      }, new HttpClientCodec(), new Unwrapper(this), messages, new Listener(this, messages));
+      ch.pipeline().addLast(new HttpClientCodec(), new Unwrapper(this), messages,
+          new Listener(this, messages));
     }
   }
 
@@ -185,12 +180,16 @@
     protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
       boolean good = part.decoderResult().isSuccess()
           && !(part instanceof HttpResponse r && !r.status().equals(HttpResponseStatus.OK));
+      boolean tells = good && part instanceof HttpContent content && content.content().isReadable();
+      if (tells || good && !source.begun) {
+        source.heardAt = clock.now();
+      }
       source.begun |= good;
-      if (good && part instanceof HttpContent content && content.content().isReadable()) {
+      if (tells) {
         if (source == watch) {
           leave();
         }
-        ctx.fireChannelRead(content.content().retain());
+        ctx.fireChannelRead(((HttpContent) part).content().retain());
       }
       if (!good || part instanceof LastHttpContent) {
         ctx.close();
--- a/src/test/java/willowdoor/net/DiscoveryFailuresTest.java
+++ b/src/test/java/willowdoor/net/DiscoveryFailuresTest.java
@@ -9,11 +9,13 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import java.io.IOException;
+import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
 import java.util.EnumMap;
@@ -43,8 +45,8 @@
 
   /** How a call fails, and for how long at most the next one is put off by it. */
   enum Failure {
-    NO_DESCRIPTOR(300), REFUSED(300), NEVER_UP(800), CLOSED(300), SILENT(500), LIST_CUT(600),
-    ENDS_UNTOLD(300), ERROR(300);
+    NO_DESCRIPTOR(300), REFUSED(300), NEVER_UP(800), CLOSED(300), SILENT(500), HEAD_TRICKLES(500),
+    LIST_CUT(600), ENDS_UNTOLD(300), ERROR(300);
 
     final int times;
 
@@ -106,7 +108,7 @@
       } else if (call > 1 + failure.times) {
         Peers.write(out, HEAD + chunk(Peers.list(8, true) + "\n"));
       } else {
-        fail(failure, out, socket);
+        fail(failure, in, out, socket);
       }
     }).getLocalSocketAddress();
     Dialer dialer = (address, handler) -> {
@@ -130,13 +132,31 @@
     return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
   }
 
-  private static void fail(Failure failure, OutputStream out, Socket socket) throws IOException {
+  private static void fail(Failure failure, InputStream in, OutputStream out, Socket socket)
+      throws IOException {
     switch (failure) {
       case CLOSED -> socket.close();
+      case HEAD_TRICKLES -> trickle(HEAD, in, out, socket);
       case LIST_CUT -> Peers.write(out, HEAD + chunk(Peers.list(8, true).substring(0, 20)));
       case ENDS_UNTOLD -> Peers.write(out, HEAD + "0\r\n\r\n");
       case ERROR -> Peers.write(out, "HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n");
       default -> { }
     }
   }
+
+  /** A byte from time to time, for as long as the other side keeps the connection. */
+  private static void trickle(String text, InputStream in, OutputStream out, Socket socket)
+      throws IOException {
+    socket.setSoTimeout(100);
+    for (int i = 0; i < text.length(); i++) {
+      Peers.write(out, text.substring(i, i + 1));
+      try {
+        if (in.read() < 0) {
+          return;
+        }
+      } catch (SocketTimeoutException e) {
+        // It still listens.
+      }
+    }
+  }
 }
