Hold a watch of discovery for silent after 2.5 s, so that one more that tells nothing fits into 6 s

Cause: DiscoveryClient.SILENT_MS was 3 s. A watch that falls silent, and one after it that stops behind the head of its answer or within the length of a chunk, took 6 s together, when what they miss has counted as told already. Change: the protocol has an empty line every 2 s; half a second more, the time that the agent on this machine has to begin an answer, is enough: 2.5 s. The sums of all time-outs and back-offs stand in the comment of the class.

--- a/src/main/java/willowdoor/net/DiscoveryClient.java
+++ b/src/main/java/willowdoor/net/DiscoveryClient.java
@@ -27,18 +27,29 @@
 import java.util.logging.Level;
 import java.util.logging.Logger;
 
-/** Watches the list of backends; while the watch is down the last list stays in use. */
+/**
+ * Watches the list of backends; while the watch is down the last list stays in use.
+ *
+ * <p>A change counts as told 6 s after discovery had it and could be reached, and 6 s after the watch that
+ * misses it fell silent, whatever became of calls meanwhile. The next call follows a failed one at the latest
+ * <ul>
+ * <li>that was refused, closed, answered by an error or ended: after the longest back-off, 300 ms;
+ * <li>that did not come up: 500 ms and the back-off, 800 ms;
+ * <li>that came up and did not begin to answer: 500 ms;
+ * <li>that stopped within a list: 300 ms and the back-off, 600 ms;
+ * <li>that began to answer and told nothing, or fell silent: 2,500 ms.
+ * </ul>
+ * The back-off does not grow beyond its longest, so the sum holds for calls that failed before as well. A
+ * watch that falls silent, one more that tells nothing and one that does not come up make 5,800 ms.
+ */
 final class DiscoveryClient {
 
   private static final Logger LOG = Logger.getLogger(DiscoveryClient.class.getName());
   private static final int MOST_LIST = 4 << 20;
   /** The agent is on this machine and answers at once: a watch that has not begun by then is broken. */
   static final long BEGIN_MS = 500;
-  /**
-   * Empty lines come every 2 s. What a silent watch misses counts as told 6 s after it fell silent: half of
-   * that is left for watches after it, of which some may not begin.
-   */
-  private static final long SILENT_MS = 3_000;
+  /** Empty lines come every 2 s, the first of them too. With this much more, the watch is broken. */
+  private static final long SILENT_MS = 2_000 + BEGIN_MS;
   /** A message comes in one go. Part of one that stays alone would make all that follows part of it. */
   private static final long WHOLE_MS = 300;
   private static final double LEAST_BACKOFF_MS = 100;
--- a/src/test/java/willowdoor/net/DiscoveryFailuresTest.java
+++ b/src/test/java/willowdoor/net/DiscoveryFailuresTest.java
@@ -31,14 +31,14 @@
 
 /**
  * A change counts as told 6 s after discovery had it and could be reached, whatever becomes of calls.
- * Here a watch falls silent, which shows after 3 s, and the calls that follow it fail, as many of each kind
+ * Here a watch falls silent, which shows after 2.5 s, and the calls that follow it fail, as many of each kind
  * as the sum of their longest times leaves room for.
  */
 @Timeout(40)
 class DiscoveryFailuresTest {
 
   private static final long TOLD_MS = 6_000;
-  private static final long SILENT_MS = 3_000;
+  private static final long SILENT_MS = 2_500;
   /** Left over for a machine that is late. */
   private static final long MARGIN_MS = 900;
   private static final String HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -46,7 +46,7 @@
   /** How a call fails, and for how long at most the next one is put off by it. */
   enum Failure {
     NO_DESCRIPTOR(300), REFUSED(300), NEVER_UP(800), CLOSED(300), SILENT(500), HEAD_TRICKLES(500),
-    LIST_CUT(600), ENDS_UNTOLD(300), ERROR(300);
+    HEAD_ONLY(2_500), LIST_CUT(600), CHUNK_CUT(2_500), ENDS_UNTOLD(300), ERROR(300);
 
     final int times;
 
@@ -137,7 +137,9 @@
     switch (failure) {
       case CLOSED -> socket.close();
       case HEAD_TRICKLES -> trickle(HEAD, in, out, socket);
+      case HEAD_ONLY -> Peers.write(out, HEAD);
       case LIST_CUT -> Peers.write(out, HEAD + chunk(Peers.list(8, true).substring(0, 20)));
+      case CHUNK_CUT -> Peers.write(out, HEAD + "1f");
       case ENDS_UNTOLD -> Peers.write(out, HEAD + "0\r\n\r\n");
       case ERROR -> Peers.write(out, "HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n");
       default -> { }
