--- a/src/main/java/willowdoor/net/FrontDoor.java
+++ b/src/main/java/willowdoor/net/FrontDoor.java
@@ -88,7 +88,7 @@
       door.loop.submit(() -> door.wire(config)).sync();
       beforeListening.of(door);
       door.listening = door.clients.listen(door.group, config.listen()).sync().channel();
-    } catch (RuntimeException e) {
+    } catch (ReloadSignal.UnavailableException | RuntimeException e) {
       door.stop();
       throw e;
     } catch (Exception e) {
