Give the place of a connection back for which no socket was to be had

Cause: BackendPool.connect took a place and gave it back when the channel closed. Where no channel can be made, as when descriptors have run out, Netty gives a future of a channel that never closes: the place was gone for good, and the backend was taken for one that has restarted. Change: a connect that fails gives the place back by itself, ahead of what its attempt's end brings, and one without a socket ends as not sent. Test: two attempts for which no socket is to be had, with one place. It fails without the change. Lines at fault: BackendPool.connect (closeFuture) and unconnected.

--- a/src/main/java/willowdoor/net/BackendPool.java
+++ b/src/main/java/willowdoor/net/BackendPool.java
@@ -1,6 +1,7 @@
 package willowdoor.net;
 
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
@@ -195,6 +196,14 @@
         channel.pipeline().addLast(decoder, new HttpRequestEncoder(), c);
       }
     });
+    connected.addListener((ChannelFuture f) -> {
+      if (f.isSuccess()) {
+        f.channel().closeFuture().addListener(closed -> places.backend(-1));
+      } else {
+        // Where no socket was to be had there is no channel that could close.
+        places.backend(-1);
+      }
+    });
     connected.addListener((ChannelFuture f) -> {
       b.connecting.remove(attempt);
       // Guards against writing what has timed out, was cancelled or must not reach a drained backend, and
@@ -210,7 +219,6 @@
         attempt.end(unconnected(f.cause()), null);
       }
     });
-    connected.channel().closeFuture().addListener(f -> places.backend(-1));
   }
 
   /**
@@ -220,6 +228,10 @@
    * way meanwhile is met once more before a refusal, or the list, tells of its restart.
    */
   private static Status unconnected(Throwable cause) {
+    if (cause instanceof ChannelException) {
+      // No socket was to be had here: that tells nothing of the backend.
+      return Status.NOT_SENT;
+    }
     return String.valueOf(cause.getMessage()).contains("reset") ? Status.BROKEN : Status.UNREACHABLE;
   }
 
--- a/src/test/java/willowdoor/net/BackendPoolTest.java
+++ b/src/test/java/willowdoor/net/BackendPoolTest.java
@@ -10,6 +10,7 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.ChannelPromise;
 import io.netty.channel.EventLoop;
@@ -243,6 +244,21 @@
     assertEquals(Status.NOT_SENT, Peers.next(ends));
   }
 
+  /** Where descriptors have run out there is no channel, which could give its place back when it closes. */
+  @Test
+  void anAttemptForWhichNoSocketIsToBeHadGivesItsPlaceBack() {
+    List<InetSocketAddress> dialledAddresses = new ArrayList<>();
+    BackendPool pool = new BackendPool(new EmbeddedChannel().eventLoop(), new Clock(), (address, handler) -> {
+      dialledAddresses.add(address);
+      return dialled.newFailedFuture(new ChannelException("too many open files"));
+    }, 10_000, new Places(1));
+    pool.onRoster(news(1));
+    pool.start(1, attempt(5_000), FOREVER);
+    pool.start(1, attempt(5_000), FOREVER);
+    assertEquals(List.of(Status.NOT_SENT, Status.NOT_SENT), List.copyOf(ends));
+    assertEquals(2, dialledAddresses.size());
+  }
+
   /** A kept connection that turns out dead costs a request that can be repeated nothing, and others all. */
   @Test
   void whatMustNotRunTwiceGoesOnANewConnectionWhereKeptOnesDied() throws Exception {
