--- a/src/test/java/willowdoor/net/Peers.java
+++ b/src/test/java/willowdoor/net/Peers.java
@@ -156,7 +156,7 @@
     }
   }
 
-  private void serveCounter(InputStream in, OutputStream out, Socket socket) throws IOException {
+  void serveCounter(InputStream in, OutputStream out, Socket socket) throws IOException {
     while (true) {
       String line = line(in);
       if (line.equals("ping")) {
