--- a/src/test/java/willowdoor/ColdBackendTest.java
+++ b/src/test/java/willowdoor/ColdBackendTest.java
@@ -65,7 +65,7 @@
   private int requests;
   private int next;
   private int served;
-  /** What the scenarios vary: the first gateway's part of the traffic, gateway restarts, class, errors. */
+  /** What the scenarios vary: the first gateway's part of the traffic, their restarts, class, errors. */
   private double partOfFirst;
   private double restartsPerSecond;
   private String type = "safe";
