Apply a change of the list as a change: an index of backends in place of rebuilt lists

QuotaPolicy.onRoster rebuilt, summed and sorted the whole list for each entry that changed (lines 698 to 707 before), sendsPerBackend counted it again every 0.5 s, and a keyed repeat filtered it. BackendIndex now keeps what is told in columns, and the orders that choices are made in (identifier, rank, zone, cell, start) as SortedSlots, a counted B+ tree; the subset is the first of the order by rank. The mean size is a decimal sum, which does not drift; sizes are bounded so that a junk one (1e999) cannot spoil it for good.

--- /dev/null
+++ b/src/main/java/willowdoor/BackendIndex.java
@@ -0,0 +1,312 @@
+package willowdoor;
+
+import it.unimi.dsi.fastutil.doubles.DoubleArrayList;
+import it.unimi.dsi.fastutil.ints.IntArrayList;
+import it.unimi.dsi.fastutil.ints.IntConsumer;
+import it.unimi.dsi.fastutil.longs.Long2IntOpenHashMap;
+import it.unimi.dsi.fastutil.longs.LongArrayList;
+import java.math.BigDecimal;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import willowdoor.GatewayApi.Phase;
+
+/**
+ * What discovery tells of all backends, in columns of a few dozen bytes for each, and the orders that choices
+ * are made in. A backend is known by its slot, a small number that is free for another once it is removed. A
+ * change costs the logarithm of the list. Nothing is decided here.
+ */
+class BackendIndex {
+
+  static final int NONE = SortedSlots.NONE;
+  private static final SortedSlots EMPTY = new SortedSlots(slot -> 0);
+  /** Sizes beyond these are junk, which would pass for nearly all or none of the fleet. */
+  private static final double LEAST_SIZE = 1e-6;
+  private static final double MOST_SIZE = 1e9;
+  /** The columns grow by this part of their length: little is left unused. */
+  private static final int GROWTH = 8;
+  /** The low bits of an entry in the column of groups are its phase. */
+  private static final int PHASE_BITS = 2;
+  private static final int PHASE_MASK = (1 << PHASE_BITS) - 1;
+  private static final Phase[] PHASES = Phase.values();
+
+  private final LongArrayList ids = new LongArrayList();
+  private final DoubleArrayList sizes = new DoubleArrayList();
+  private final DoubleArrayList starts = new DoubleArrayList();
+  private final IntArrayList groupsAndPhases = new IntArrayList();
+  private final IntArrayList free = new IntArrayList();
+  /** The slots of backends that drain or are gone, by identifier; the others are found in their order. */
+  private final Long2IntOpenHashMap notServing = new Long2IntOpenHashMap();
+  private final SortedSlots serving = new SortedSlots(this::id);
+  /** By the time of their start, which is positive, so that its bits have the same order. */
+  private final SortedSlots starting = new SortedSlots(slot -> Double.doubleToLongBits(startedMs(slot)));
+  private SortedSlots ranked;
+  private long gateway;
+  private final Map<String, Zone> zones = new HashMap<>();
+  private final List<Cell> cells = new ArrayList<>();
+  /** Exact, so that it does not drift however many changes there are. */
+  private BigDecimal total = BigDecimal.ZERO;
+  private double meanSize = 1;
+  private boolean meanKnown = true;
+
+  /** The backends of one zone, and its cells. */
+  private final class Zone {
+    final SortedSlots serving = new SortedSlots(BackendIndex.this::id);
+    final Map<Integer, Cell> cells = new HashMap<>();
+  }
+
+  /** The backends of one cell of a zone. */
+  private final class Cell {
+    final int number;
+    final Zone zone;
+    final SortedSlots serving = new SortedSlots(BackendIndex.this::id);
+
+    Cell(int number, Zone zone) {
+      this.number = number;
+      this.zone = zone;
+    }
+  }
+
+  /** For one gateway, whose order of ranks differs from those of others. */
+  BackendIndex(long gateway) {
+    notServing.defaultReturnValue(NONE);
+    rankFor(gateway);
+  }
+
+  /** Orders the ranks anew for a gateway. */
+  void rankFor(long other) {
+    gateway = other;
+    ranked = new SortedSlots(slot -> GatewayState.rank(id(slot), other));
+    for (int i = 0; i < serving.size(); i++) {
+      ranked.add(serving.get(i));
+    }
+  }
+
+  long gateway() {
+    return gateway;
+  }
+
+  // ---- Finding ----
+
+  /** The slot of a backend, or {@link #NONE}. */
+  int find(long id) {
+    int slot = serving.find(id);
+    return slot == NONE ? notServing.get(id) : slot;
+  }
+
+  /** All backends that serve, by identifier. */
+  SortedSlots serving() {
+    return serving;
+  }
+
+  /** The same in the gateway's own order. */
+  SortedSlots ranked() {
+    return ranked;
+  }
+
+  /** Those of them in a zone, by identifier. */
+  SortedSlots inZone(String zone) {
+    Zone found = zones.get(zone);
+    return found == null ? EMPTY : found.serving;
+  }
+
+  /** Those of them in a cell of a zone, by identifier. */
+  SortedSlots inCell(String zone, int cell) {
+    Zone found = zones.get(zone);
+    Cell of = found == null ? null : found.cells.get(cell);
+    return of == null ? EMPTY : of.serving;
+  }
+
+  long id(int slot) {
+    return ids.getLong(slot);
+  }
+
+  double size(int slot) {
+    return sizes.getDouble(slot);
+  }
+
+  /** When it started, as it is taken for; 0 when that was long ago. */
+  double startedMs(int slot) {
+    return starts.getDouble(slot);
+  }
+
+  Phase phase(int slot) {
+    return PHASES[groupsAndPhases.getInt(slot) & PHASE_MASK];
+  }
+
+  /** The number of its zone and cell. */
+  int group(int slot) {
+    return groupsAndPhases.getInt(slot) >>> PHASE_BITS;
+  }
+
+  /** The mean size of those that serve; 1 where none does. */
+  double meanSize() {
+    if (!meanKnown) {
+      meanSize = serving.size() == 0 ? 1 : total.doubleValue() / serving.size();
+      meanKnown = true;
+    }
+    return meanSize;
+  }
+
+  /** How many of those that serve started no less than so long ago. */
+  int warm(double coldMs, double now) {
+    while (starting.size() > 0 && !cold(starting.get(0), coldMs, now)) {
+      starting.remove(starting.get(0));
+    }
+    return serving.size() - starting.size();
+  }
+
+  boolean cold(int slot, double coldMs, double now) {
+    double started = starts.getDouble(slot);
+    return started > 0 && now - started < coldMs;
+  }
+
+  /** Hands over the slots of all backends, in the order of the slots. */
+  void forEach(IntConsumer consumer) {
+    for (int slot = 0; slot < ids.size(); slot++) {
+      if (isUsed(slot)) {
+        consumer.accept(slot);
+      }
+    }
+  }
+
+  int capacity() {
+    return ids.size();
+  }
+
+  /** Whether a backend has this slot; a free one's group is negative. */
+  boolean isUsed(int slot) {
+    return groupsAndPhases.getInt(slot) >= 0;
+  }
+
+  // ---- Changing ----
+
+  /** The number of a zone and cell; a new one gets the next higher number, the first 0. */
+  int group(String zone, int cell) {
+    Zone in = zones.get(zone);
+    if (in == null) {
+      in = new Zone();
+      zones.put(zone, in);
+    }
+    Cell found = in.cells.get(cell);
+    if (found == null) {
+      found = new Cell(cells.size(), in);
+      in.cells.put(cell, found);
+      cells.add(found);
+    }
+    return found.number;
+  }
+
+  /** Makes room for a backend that is not known yet; it counts as removed until it is {@link #set}. */
+  int add(long id, int group) {
+    int slot = free.isEmpty() ? appendSlot() : free.popInt();
+    ids.set(slot, id);
+    groupsAndPhases.set(slot, group << PHASE_BITS | Phase.REMOVED.ordinal());
+    notServing.put(id, slot);
+    return slot;
+  }
+
+  private int appendSlot() {
+    int slot = ids.size();
+    int capacity = ids.elements().length;
+    if (slot == capacity) {
+      // In place of the collections' own growth by a half.
+      int more = slot + Math.max(16, slot / GROWTH);
+      ids.ensureCapacity(more);
+      sizes.ensureCapacity(more);
+      starts.ensureCapacity(more);
+      groupsAndPhases.ensureCapacity(more);
+    }
+    ids.add(0);
+    sizes.add(0);
+    starts.add(0);
+    groupsAndPhases.add(-1);
+    return slot;
+  }
+
+  /** Takes what is told of a backend now; coldMs is for how long it then counts as starting. */
+  void set(int slot, int group, Phase phase, double size, double startedMs, double coldMs, double now) {
+    boolean served = phase(slot) == Phase.SERVING;
+    boolean serves = phase == Phase.SERVING;
+    boolean moved = served != serves || group(slot) != group;
+    if (served) {
+      starting.remove(slot);
+      subtract(slot);
+      if (moved) {
+        leaveOrders(slot);
+      }
+    }
+    groupsAndPhases.set(slot, group << PHASE_BITS | phase.ordinal());
+    sizes.set(slot, Math.min(Math.max(size, LEAST_SIZE), MOST_SIZE));
+    starts.set(slot, startedMs);
+    if (serves) {
+      if (moved) {
+        joinOrders(slot);
+      }
+      add(slot);
+      noteStart(slot, coldMs, now);
+    }
+    if (!serves && served) {
+      notServing.put(id(slot), slot);
+    }
+  }
+
+  /** Takes a backend for started then, whatever was told. */
+  void start(int slot, double startedMs, double coldMs, double now) {
+    starting.remove(slot);
+    starts.set(slot, startedMs);
+    if (phase(slot) == Phase.SERVING) {
+      noteStart(slot, coldMs, now);
+    }
+  }
+
+  /** Looks anew at which backends are starting, as another time holds for that. */
+  void recountStarting(double coldMs, double now) {
+    for (int i = 0; i < serving.size(); i++) {
+      int slot = serving.get(i);
+      starting.remove(slot);
+      noteStart(slot, coldMs, now);
+    }
+  }
+
+  /** Forgets a backend that does not serve; its slot is free. */
+  void remove(int slot) {
+    notServing.remove(id(slot));
+    groupsAndPhases.set(slot, -1);
+    free.push(slot);
+  }
+
+  private void noteStart(int slot, double coldMs, double now) {
+    if (cold(slot, coldMs, now)) {
+      starting.add(slot);
+    }
+  }
+
+  private void joinOrders(int slot) {
+    notServing.remove(id(slot));
+    Cell cell = cells.get(group(slot));
+    serving.add(slot);
+    ranked.add(slot);
+    cell.serving.add(slot);
+    cell.zone.serving.add(slot);
+  }
+
+  private void leaveOrders(int slot) {
+    Cell cell = cells.get(group(slot));
+    serving.remove(slot);
+    ranked.remove(slot);
+    cell.serving.remove(slot);
+    cell.zone.serving.remove(slot);
+  }
+
+  private void add(int slot) {
+    total = total.add(BigDecimal.valueOf(size(slot)));
+    meanKnown = false;
+  }
+
+  private void subtract(int slot) {
+    total = total.subtract(BigDecimal.valueOf(size(slot)));
+    meanKnown = false;
+  }
+}
--- a/src/main/java/willowdoor/GatewayState.java
+++ b/src/main/java/willowdoor/GatewayState.java
@@ -1,7 +1,11 @@
 package willowdoor;
 
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Supplier;
 import willowdoor.GatewayApi.Allowed;
-import willowdoor.GatewayApi.Phase;
 import willowdoor.GatewayApi.Plan;
 import willowdoor.GatewayApi.Request;
 import willowdoor.GatewayApi.RequestClass;
@@ -20,6 +24,11 @@
     return z ^ (z >>> 31);
   }
 
+  /** A backend's place in the order of one gateway, which differs from the orders of others. */
+  static long rank(long id, long gateway) {
+    return mix(id + (gateway << 32));
+  }
+
   /** A mean that forgets: by samples where they come often, by time where they are rare. */
   static final class Mean {
     private final double weight;
@@ -58,6 +67,34 @@
     }
   }
 
+  /** The reach of each zone and of each cell, by the number of a backend's group. */
+  static final class GroupReaches {
+    private final Supplier<Reach> maker;
+    private final Map<String, Reach> byName = new HashMap<>();
+    private final List<Reach> zones = new ArrayList<>();
+    private final List<Reach> cells = new ArrayList<>();
+
+    GroupReaches(Supplier<Reach> maker) {
+      this.maker = maker;
+    }
+
+    /** Takes the name of a group, whose number is known already or is the next. */
+    void know(int group, String zone, int cell) {
+      if (group == zones.size()) {
+        zones.add(byName.computeIfAbsent(zone, name -> maker.get()));
+        cells.add(byName.computeIfAbsent(zone + "/" + cell, name -> maker.get()));
+      }
+    }
+
+    Reach zone(int group) {
+      return zones.get(group);
+    }
+
+    Reach cell(int group) {
+      return cells.get(group);
+    }
+  }
+
   /** One customer as this gateway sees it. */
   static class AccountState {
     final long customer;
@@ -122,11 +159,7 @@
   static class BackendState {
     final long id;
     String zone;
-    Phase phase;
     int cell;
-    /** Size as told, and relative to the mean. */
-    double told;
-    double size;
     /** When it started, as told, and as taken to be. */
     double toldStart;
     double startedMs;
@@ -162,11 +195,6 @@
       return Math.max(zoneReach.lost.fresh(now), cellReach.lost.fresh(now));
     }
 
-    /** Its place in the order of one gateway, which differs from the orders of others. */
-    long rank(long gateway) {
-      return mix(id + (gateway << 32));
-    }
-
     boolean cold(Rules rules, double now) {
       return startedMs > 0 && now - startedMs < rules.coldMs();
     }
--- a/src/main/java/willowdoor/QuotaPolicy.java
+++ b/src/main/java/willowdoor/QuotaPolicy.java
@@ -1,5 +1,7 @@
 package willowdoor;
 
+import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap;
+import it.unimi.dsi.fastutil.ints.IntArrayList;
 import java.util.*;
 import willowdoor.GatewayApi.*;
 import willowdoor.GatewayState.*;
@@ -99,8 +101,13 @@
   private double now, startedAt;
 
   public QuotaPolicy(Settings settings, long seed) {
+    this(settings, seed, new BackendIndex(settings.self()));
+  }
+
+  QuotaPolicy(Settings settings, long seed, BackendIndex index) {
     this.settings = settings;
     this.random = new SplittableRandom(seed);
+    this.index = index;
     retriesSaved = Math.max(1, FLEET_RETRIES_SAVED / Math.max(1, settings.gateways()));
     retryTokens = retriesSaved;
     settings.plans().forEach(p -> plans.put(p.name(), p));
@@ -151,6 +158,10 @@
   /** Takes new settings; counts, health and open requests live on. */
   private void onSettings(Settings changed) {
     settings = changed;
+    if (changed.self() != index.gateway()) {
+      index.rankFor(changed.self());
+    }
+    index.recountStarting(changed.rules().coldMs(), now);
     plans.clear();
     settings.plans().forEach(p -> plans.put(p.name(), p));
     for (Account a : accounts.values()) {
@@ -607,16 +618,18 @@
   // ---- Backends ----
 
   private final class Backend extends BackendState {
+    final int slot;
     final LinkedHashSet<Attempt> out = new LinkedHashSet<>();
 
-    Backend(long id) {
+    Backend(long id, int slot) {
       super(id, now);
+      this.slot = slot;
       coldTokens = random.nextDouble();
     }
 
     /** Requests here from all gateways; a report is trusted less as it ages, so no backend stays shunned. */
     double held() {
-      double usual = outMean.value / Math.max(1, serving.size()) * (settings.gateways() - 1);
+      double usual = outMean.value / Math.max(1, index.serving().size()) * (settings.gateways() - 1);
       if (Double.isNaN(reported)) {
         return out.size() + usual;
       }
@@ -638,7 +651,7 @@
 
     /** Expected time to an answer: service time by requests held, longer where the oldest is overdue. */
     double wait(Job job) {
-      double w = serviceMs() * (1 + held() / size);
+      double w = serviceMs() * (1 + held() / (index.size(slot) / index.meanSize()));
       if (!out.isEmpty()) {
         double silent = now - out.iterator().next().sentAt;
         w += Math.max(0, silent - 2.5 * fleetService);
@@ -666,11 +679,16 @@
     }
   }
 
-  private final TreeMap<Long, Backend> backends = new TreeMap<>();
-  private final Map<String, Reach> reaches = new HashMap<>();
+  private final BackendIndex index;
+  /** What is known of each beyond the index, by its slot there. */
+  private final Int2ObjectOpenHashMap<Backend> states = new Int2ObjectOpenHashMap<>();
+  /** Slots of those that are gone, or were when last looked at. */
+  private final IntArrayList gone = new IntArrayList();
+  private final GroupReaches reaches =
+      new GroupReaches(() -> new Reach(new Mean(NEWEST, PRESSURE_LIFE_MS, now)));
   private double fleetService = UNKNOWN_SERVICE_MS;
-  private final List<Backend> serving = new ArrayList<>();
-  private final List<Backend> usual = new ArrayList<>();
+  /** This gateway keeps to so many: those that come first in its own order. */
+  private int usual;
   private int warm;
   private double warmAt = Double.NEGATIVE_INFINITY, sendRate, sendsAt;
 
@@ -679,37 +697,64 @@
       out.add(new WakeAt(now + 1000, "follow"));
       return;
     }
-    if (e.form() != RosterForm.CHANGES) {
-      backends.values().forEach(b -> b.phase = Phase.REMOVED);
+    if (e.form() == RosterForm.CHANGES) {
+      e.entries().forEach(this::take);
+    } else {
+      BitSet named = new BitSet(index.capacity());
+      e.entries().forEach(x -> named.set(take(x)));
+      index.forEach(slot -> leave(slot, named));
     }
-    for (BackendEntry x : e.entries()) {
-      Backend b = backends.computeIfAbsent(x.id(), Backend::new);
-      if (b.toldStart != x.startedMs() && b.phase != null) {
-        backends.put(b.id, b = new Backend(b.id));
-      }
-      b.zone = x.zone();
-      b.cell = x.cell();
-      b.zoneReach = reach(x.zone());
-      b.cellReach = reach(x.zone() + "/" + x.cell());
-      b.phase = x.phase();
-      b.startedMs = Math.max(b.startedMs, x.startedMs());
-      b.toldStart = x.startedMs();
-      b.told = settings.sizesTold() ? Math.max(x.size(), 1e-6) : 1;
-    }
-    backends.values().removeIf(b -> b.phase == Phase.REMOVED && b.out.isEmpty());
-    serving.clear();
-    backends.values().stream().filter(b -> b.phase == Phase.SERVING).forEach(serving::add);
-    double mean = serving.stream().mapToDouble(b -> b.told).average().orElse(1);
-    serving.forEach(b -> b.size = b.told / mean);
-    usual.clear();
-    serving.stream().sorted(Comparator.comparingLong(b -> b.rank(settings.self())))
-        .limit(Math.max(SUBSET, SUBSET * serving.size() / Math.max(1, settings.gateways())))
-        .forEach(usual::add);
+    gone.removeIf(this::forget);
+    usual = Math.min(index.serving().size(),
+        Math.max(SUBSET, SUBSET * index.serving().size() / Math.max(1, settings.gateways())));
     warmAt = Double.NEGATIVE_INFINITY;
   }
 
-  private Reach reach(String group) {
-    return reaches.computeIfAbsent(group, g -> new Reach(new Mean(NEWEST, PRESSURE_LIFE_MS, now)));
+  /** Takes one entry, and gives its slot; one that has started again is a new backend. */
+  private int take(BackendEntry x) {
+    int group = index.group(x.zone(), x.cell());
+    reaches.know(group, x.zone(), x.cell());
+    int known = index.find(x.id());
+    int slot = known == BackendIndex.NONE ? index.add(x.id(), group) : known;
+    Backend b = states.get(slot);
+    if (b == null || b.toldStart != x.startedMs()) {
+      b = new Backend(x.id(), slot);
+      states.put(slot, b);
+    }
+    b.zone = x.zone();
+    b.cell = x.cell();
+    b.zoneReach = reaches.zone(group);
+    b.cellReach = reaches.cell(group);
+    b.startedMs = Math.max(b.startedMs, x.startedMs());
+    b.toldStart = x.startedMs();
+    double size = settings.sizesTold() ? x.size() : 1;
+    index.set(slot, group, x.phase(), size, b.startedMs, settings.rules().coldMs(), now);
+    if (x.phase() == Phase.REMOVED) {
+      gone.add(slot);
+    }
+    return slot;
+  }
+
+  /** What a whole list does not name is gone. */
+  private void leave(int slot, BitSet named) {
+    if (!named.get(slot) && index.phase(slot) != Phase.REMOVED) {
+      index.set(slot, index.group(slot), Phase.REMOVED, index.size(slot), index.startedMs(slot),
+          settings.rules().coldMs(), now);
+      gone.add(slot);
+    }
+  }
+
+  /** Drops one that is gone, unless an attempt is out there; true when it need not be looked at again. */
+  private boolean forget(int slot) {
+    if (!index.isUsed(slot) || index.phase(slot) != Phase.REMOVED) {
+      return true;
+    }
+    boolean unused = states.get(slot).out.isEmpty();
+    if (unused) {
+      states.remove(slot);
+      index.remove(slot);
+    }
+    return unused;
   }
 
   /**
@@ -718,20 +763,29 @@
    */
   private Backend pick(Job job) {
     boolean bound = job.keyedTo != null && job.type.group() != Group.ALL;
-    List<Backend> among = bound ? serving.stream().filter(b -> inGroup(b, job)).toList() : usual;
+    SortedSlots among = bound ? groupOf(job) : index.ranked();
+    int kept = bound ? among.size() : usual;
     int wanted = (int) Math.max(2, Math.ceil(FLEET_CANDIDATES / Math.max(2, settings.gateways())));
-    Backend best = bestOf(among, job, wanted, false);
-    best = best != null || bound ? best : bestOf(serving, job, wanted, false);
-    return best != null ? best : bestOf(among, job, wanted, true);
+    Backend best = bestOf(among, kept, job, wanted, false);
+    best = best != null || bound ? best
+        : bestOf(index.serving(), index.serving().size(), job, wanted, false);
+    return best != null ? best : bestOf(among, kept, job, wanted, true);
+  }
+
+  /** Those that drop the request's repeats. */
+  private SortedSlots groupOf(Job job) {
+    Backend first = job.keyedTo;
+    return job.type.group() == Group.ZONE ? index.inZone(first.zone) : index.inCell(first.zone, first.cell);
   }
 
-  private Backend bestOf(List<Backend> among, Job job, int wanted, boolean ignoreRest) {
+  /** Chooses among the first so many in an order. */
+  private Backend bestOf(SortedSlots among, int size, Job job, int wanted, boolean ignoreRest) {
     Backend best = null;
     double bestWait = Double.POSITIVE_INFINITY;
-    boolean all = among.size() <= wanted;
-    int draws = all ? among.size() : 3 * wanted;
+    boolean all = size <= wanted;
+    int draws = all ? size : 3 * wanted;
     for (int i = 0, found = 0; i < draws && found < wanted; i++) {
-      Backend b = among.get(all ? i : random.nextInt(among.size()));
+      Backend b = states.get(among.get(all ? i : random.nextInt(size)));
       if (!usable(b, job, ignoreRest)) {
         continue;
       }
@@ -748,7 +802,7 @@
   private boolean usable(Backend b, Job job, boolean ignoreRest) {
     boolean trialBarred = b.trial && (!b.out.isEmpty() || job.type.repeat() == Repeat.UNSAFE);
     boolean resting = !ignoreRest && (now < b.restUntil || trialBarred || b.nearFailing(now) > FAILING_SHARE);
-    return b.phase == Phase.SERVING && now >= b.fullUntil && !resting
+    return now >= b.fullUntil && !resting
         && (!b.cold(settings.rules(), now) || coldRoom(b));
   }
 
@@ -770,16 +824,12 @@
 
   private double sendsPerBackend() {
     if (now - warmAt > 500) {
-      warm = (int) serving.stream().filter(b -> !b.cold(settings.rules(), now)).count();
+      warm = index.warm(settings.rules().coldMs(), now);
       warmAt = now;
     }
     return warm == 0 ? 0 : sendRate * Math.exp((sendsAt - now) / PRESSURE_LIFE_MS) / warm;
   }
 
-  private boolean inGroup(Backend b, Job job) {
-    return b.zone.equals(job.keyedTo.zone) && (job.type.group() == Group.ZONE || b.cell == job.keyedTo.cell);
-  }
-
   private void learn(Backend b, Attempt attempt, Outcome e) {
     Load load = e.load();
     if (load != null && !Double.isNaN(load.inFlight())) {
@@ -815,8 +865,9 @@
       b.fullUntil = now + 2 * fleetService;
     } else if (bad) {
       if (e.status() == Status.UNREACHABLE && !b.cold(settings.rules(), now)) {
-        b.coldAt = b.startedMs = b.doubtedAt = now;
+        b.coldAt = b.doubtedAt = now;
         b.coldTokens = random.nextDouble();
+        takeForStarted(b, now);
       }
       if (b.failing > FAILING_SHARE || b.trial) {
         b.restUntil = now + REST_MS * (1 << Math.min(b.rests, 3)) * (1 + 0.3 * random.nextDouble());
@@ -854,12 +905,20 @@
    */
   private void trust(Backend b, Attempt attempt) {
     if (attempt.sentAt < b.doubtedAt) {
-      b.startedMs = b.toldStart;
+      takeForStarted(b, b.toldStart);
       b.doubtedAt = Double.NEGATIVE_INFINITY;
       warmAt = Double.NEGATIVE_INFINITY;
     }
   }
 
+  /** An attempt may still be out at one that has been replaced since: the index has the newer. */
+  private void takeForStarted(Backend b, double startedMs) {
+    b.startedMs = startedMs;
+    if (states.get(b.slot) == b) {
+      index.start(b.slot, startedMs, settings.rules().coldMs(), now);
+    }
+  }
+
   // ---- Attempts ----
 
   /** A request taken and not yet finally answered. */
@@ -920,8 +979,8 @@
 
   /** Expected wait as a share of the aim: as lately measured, scaled by how many more are out by now. */
   private double expectedOfAim() {
-    double held = settings.gateways() / (double) Math.max(1, serving.size());
-    double more = IDLE_HELD / Math.max(1, serving.size());
+    double held = settings.gateways() / (double) Math.max(1, index.serving().size());
+    double more = IDLE_HELD / Math.max(1, index.serving().size());
     double ratio = (outMean.value * held + more) / (Math.max(outThen.value * held, IDLE_HELD) + more);
     return latencyOfAim.fresh(now) * ratio;
   }
--- /dev/null
+++ b/src/test/java/willowdoor/RosterTiming.java
@@ -0,0 +1,81 @@
+package willowdoor;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.SplittableRandom;
+import willowdoor.GatewayApi.BackendEntry;
+import willowdoor.GatewayApi.Phase;
+import willowdoor.GatewayApi.Roster;
+import willowdoor.GatewayApi.RosterForm;
+
+/** Prints what one changed backend costs a module, and its heap for each, at lists of several lengths. */
+final class RosterTiming {
+
+  private static final int[] LENGTHS = {1_000, 10_000, 100_000, 200_000};
+  private static final int GATEWAYS = 2_000;
+  private static final int ZONES = 19;
+  private static final int CELLS = 20;
+  private static final int WARM_UP = 2_000;
+  private static final int SLICE = 1_000;
+  private static final double NOW_MS = 1_000_000;
+
+  private RosterTiming() {
+  }
+
+  public static void main(String[] arguments) {
+    int changes = arguments.length > 0 ? Integer.parseInt(arguments[0]) : 2_000;
+    measure(1_000, changes + WARM_UP);
+    System.out.println("backends  one change us: median   p99      most   bytes each");
+    for (int length : LENGTHS) {
+      measure(length, changes);
+    }
+  }
+
+  private static void measure(int length, int changes) {
+    SplittableRandom random = new SplittableRandom(length);
+    long before = usedHeap();
+    QuotaPolicy policy = new QuotaPolicy(Fixtures.settings(true, GATEWAYS, false), 1);
+    policy.start(NOW_MS);
+    long[] ids = random.longs(length).toArray();
+    for (int from = 0; from < length; from += SLICE) {
+      List<BackendEntry> slice = new ArrayList<>();
+      for (int i = from; i < Math.min(length, from + SLICE); i++) {
+        slice.add(entry(ids[i], Phase.SERVING, 0));
+      }
+      policy.on(NOW_MS, new Roster(RosterForm.CHANGES, slice));
+    }
+    double bytes = (usedHeap() - before) / (double) length;
+    double[] micros = new double[changes];
+    for (int i = 0; i < changes; i++) {
+      int at = random.nextInt(length);
+      if (i % 3 == 2) {
+        policy.on(NOW_MS, change(ids[at], Phase.REMOVED, 0));
+        ids[at] = random.nextLong();
+      }
+      Phase phase = i % 3 == 0 ? Phase.DRAINING : Phase.SERVING;
+      Roster change = change(ids[at], phase, i % 3 == 1 ? NOW_MS + i : 0);
+      long begun = System.nanoTime();
+      policy.on(NOW_MS + i, change);
+      micros[i] = (System.nanoTime() - begun) / 1e3;
+    }
+    Arrays.sort(micros);
+    System.out.printf("%8d %24.2f %8.2f %8.1f %9.0f%n", length, micros[changes / 2],
+        micros[(int) (changes * 0.99)], micros[changes - 1], bytes);
+  }
+
+  private static Roster change(long id, Phase phase, double startedMs) {
+    return new Roster(RosterForm.CHANGES, List.of(entry(id, phase, startedMs)));
+  }
+
+  private static BackendEntry entry(long id, Phase phase, double startedMs) {
+    String zone = "zone-" + Math.floorMod(id, ZONES);
+    return new BackendEntry(id, zone, Math.floorMod(id >> 8, CELLS), phase, 1, startedMs);
+  }
+
+  private static long usedHeap() {
+    System.gc();
+    Runtime runtime = Runtime.getRuntime();
+    return runtime.totalMemory() - runtime.freeMemory();
+  }
+}
