Keep full state only of backends that are kept to, cold or looked at; others are in the index alone

A backend's full state (373 bytes) was built for every one listed, though a gateway meets few of a long list. One that has just started gets its state with the list while there is room for it, and else begins without a token, so that cold ones are met with care however many they are. Replaced ones are told by the index's start.

--- a/src/main/java/willowdoor/BackendIndex.java
+++ b/src/main/java/willowdoor/BackendIndex.java
@@ -2,14 +2,15 @@
 
 import it.unimi.dsi.fastutil.doubles.DoubleArrayList;
 import it.unimi.dsi.fastutil.ints.IntArrayList;
-import it.unimi.dsi.fastutil.ints.IntConsumer;
 import it.unimi.dsi.fastutil.longs.Long2IntOpenHashMap;
 import it.unimi.dsi.fastutil.longs.LongArrayList;
 import java.math.BigDecimal;
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.IntConsumer;
 import willowdoor.GatewayApi.Phase;
 
 /**
@@ -52,19 +53,26 @@
 
   /** The backends of one zone, and its cells. */
   private final class Zone {
+    final String name;
     final SortedSlots serving = new SortedSlots(BackendIndex.this::id);
     final Map<Integer, Cell> cells = new HashMap<>();
+
+    Zone(String name) {
+      this.name = name;
+    }
   }
 
-  /** The backends of one cell of a zone. */
+  /** The backends of one cell of a zone, which has a number of its own there. */
   private final class Cell {
     final int number;
     final Zone zone;
+    final int inZone;
     final SortedSlots serving = new SortedSlots(BackendIndex.this::id);
 
-    Cell(int number, Zone zone) {
+    Cell(int number, Zone zone, int inZone) {
       this.number = number;
       this.zone = zone;
+      this.inZone = inZone;
     }
   }
 
@@ -140,6 +148,20 @@
     return groupsAndPhases.getInt(slot) >>> PHASE_BITS;
   }
 
+  String zone(int group) {
+    return cells.get(group).zone.name;
+  }
+
+  int cell(int group) {
+    return cells.get(group).inZone;
+  }
+
+  /** Whether a backend is among the first so many in the gateway's own order. */
+  boolean isAmong(int first, int slot) {
+    return first > 0 && phase(slot) == Phase.SERVING
+        && GatewayState.rank(id(slot), gateway) <= GatewayState.rank(id(ranked.get(first - 1)), gateway);
+  }
+
   /** The mean size of those that serve; 1 where none does. */
   double meanSize() {
     if (!meanKnown) {
@@ -162,15 +184,6 @@
     return started > 0 && now - started < coldMs;
   }
 
-  /** Hands over the slots of all backends, in the order of the slots. */
-  void forEach(IntConsumer consumer) {
-    for (int slot = 0; slot < ids.size(); slot++) {
-      if (isUsed(slot)) {
-        consumer.accept(slot);
-      }
-    }
-  }
-
   int capacity() {
     return ids.size();
   }
@@ -186,12 +199,12 @@
   int group(String zone, int cell) {
     Zone in = zones.get(zone);
     if (in == null) {
-      in = new Zone();
+      in = new Zone(zone);
       zones.put(zone, in);
     }
     Cell found = in.cells.get(cell);
     if (found == null) {
-      found = new Cell(cells.size(), in);
+      found = new Cell(cells.size(), in, cell);
       in.cells.put(cell, found);
       cells.add(found);
     }
@@ -252,6 +265,16 @@
     }
   }
 
+  /** Takes all backends whose slots are not named for removed, and hands over those slots. */
+  void withdrawOthers(BitSet named, IntConsumer withdrawn) {
+    for (int slot = named.nextClearBit(0); slot < ids.size(); slot = named.nextClearBit(slot + 1)) {
+      if (isUsed(slot) && phase(slot) != Phase.REMOVED) {
+        set(slot, group(slot), Phase.REMOVED, size(slot), startedMs(slot), 0, 0);
+        withdrawn.accept(slot);
+      }
+    }
+  }
+
   /** Takes a backend for started then, whatever was told. */
   void start(int slot, double startedMs, double coldMs, double now) {
     starting.remove(slot);
--- a/src/main/java/willowdoor/GatewayState.java
+++ b/src/main/java/willowdoor/GatewayState.java
@@ -161,7 +161,7 @@
     String zone;
     int cell;
     /** When it started, as told, and as taken to be. */
-    double toldStart;
+    final double toldStart;
     double startedMs;
     /** When a failed connection made it look restarted, unless that is settled. */
     double doubtedAt = Double.NEGATIVE_INFINITY;
@@ -184,12 +184,23 @@
     double coldTokens;
     double coldAt;
 
-    BackendState(long id, double now) {
+    BackendState(long id, double startedMs, double now) {
       this.id = id;
+      this.startedMs = startedMs;
+      toldStart = startedMs;
       answeredAt = now;
       coldAt = now;
     }
 
+    /** Takes its zone and cell as the index has them. */
+    final void join(BackendIndex index, int slot, GroupReaches reaches) {
+      int group = index.group(slot);
+      zone = index.zone(group);
+      cell = index.cell(group);
+      zoneReach = reaches.zone(group);
+      cellReach = reaches.cell(group);
+    }
+
     /** The share lost on the way to its zone or to its cell, whichever is more. */
     double nearFailing(double now) {
       return Math.max(zoneReach.lost.fresh(now), cellReach.lost.fresh(now));
--- a/src/main/java/willowdoor/QuotaPolicy.java
+++ b/src/main/java/willowdoor/QuotaPolicy.java
@@ -64,6 +64,12 @@
   private static final double REST_MS = 1_000;
   /** Backends that a gateway keeps to (subsetting), and gateways that each has at least: few connections. */
   private static final int SUBSET = 12;
+  /** Backends whose full state is kept beyond those; more than the days have, and few megabytes. */
+  private static final int MOST_STATES = 4_000;
+  /** A backend that has rested and was not met for this long is like a new one. */
+  private static final double REST_MEMORY_MS = 10_000;
+  /** What is learned of a backend and faded to this is worth nothing. */
+  private static final double FORGOTTEN = 0.001;
   /** Backends compared for a request, over all gateways; two at least, as equal stale reports make a herd. */
   private static final double FLEET_CANDIDATES = 30;
   /** Further attempts for each request, earned by first attempts, and how many the fleet may save up. */
@@ -621,10 +627,17 @@
     final int slot;
     final LinkedHashSet<Attempt> out = new LinkedHashSet<>();
 
-    Backend(long id, int slot) {
-      super(id, now);
+    Backend(int slot, double coldTokens) {
+      super(index.id(slot), index.startedMs(slot), now);
       this.slot = slot;
-      coldTokens = random.nextDouble();
+      this.coldTokens = coldTokens;
+      join(index, slot, reaches);
+    }
+
+    /** Whether it may be built anew when next looked at, as nothing of worth is known of it any more. */
+    boolean forgettable() {
+      return out.isEmpty() && startedMs == toldStart && !index.cold(slot, settings.rules().coldMs(), now)
+          && now > restUntil + REST_MEMORY_MS && remembered() < FORGOTTEN && !index.isAmong(usual, slot);
     }
 
     /** Requests here from all gateways; a report is trusted less as it ages, so no backend stays shunned. */
@@ -680,7 +693,7 @@
   }
 
   private final BackendIndex index;
-  /** What is known of each beyond the index, by its slot there. */
+  /** Full state of those that are kept to, cold, or were looked at, by their slots in the index. */
   private final Int2ObjectOpenHashMap<Backend> states = new Int2ObjectOpenHashMap<>();
   /** Slots of those that are gone, or were when last looked at. */
   private final IntArrayList gone = new IntArrayList();
@@ -690,7 +703,12 @@
   /** This gateway keeps to so many: those that come first in its own order. */
   private int usual;
   private int warm;
-  private double warmAt = Double.NEGATIVE_INFINITY, sendRate, sendsAt;
+  private double warmAt = Double.NEGATIVE_INFINITY, forgotAt = warmAt, sendRate, sendsAt;
+
+  /** How many backends' full state is kept. */
+  int fullStates() {
+    return states.size();
+  }
 
   private void onRoster(Roster e) {
     if (e.form() == RosterForm.FAILED) {
@@ -702,7 +720,7 @@
     } else {
       BitSet named = new BitSet(index.capacity());
       e.entries().forEach(x -> named.set(take(x)));
-      index.forEach(slot -> leave(slot, named));
+      index.withdrawOthers(named, gone::add);
     }
     gone.removeIf(this::forget);
     usual = Math.min(index.serving().size(),
@@ -717,31 +735,45 @@
     int known = index.find(x.id());
     int slot = known == BackendIndex.NONE ? index.add(x.id(), group) : known;
     Backend b = states.get(slot);
-    if (b == null || b.toldStart != x.startedMs()) {
-      b = new Backend(x.id(), slot);
-      states.put(slot, b);
-    }
-    b.zone = x.zone();
-    b.cell = x.cell();
-    b.zoneReach = reaches.zone(group);
-    b.cellReach = reaches.cell(group);
-    b.startedMs = Math.max(b.startedMs, x.startedMs());
-    b.toldStart = x.startedMs();
+    double toldStart = b == null ? index.startedMs(slot) : b.toldStart;
+    boolean same = known != BackendIndex.NONE && toldStart == x.startedMs();
+    double startedMs = same ? index.startedMs(slot) : x.startedMs();
     double size = settings.sizesTold() ? x.size() : 1;
-    index.set(slot, group, x.phase(), size, b.startedMs, settings.rules().coldMs(), now);
+    index.set(slot, group, x.phase(), size, startedMs, settings.rules().coldMs(), now);
+    if (!same) {
+      renew(slot);
+    } else if (b != null) {
+      b.join(index, slot, reaches);
+    }
     if (x.phase() == Phase.REMOVED) {
       gone.add(slot);
     }
     return slot;
   }
 
-  /** What a whole list does not name is gone. */
-  private void leave(int slot, BitSet named) {
-    if (!named.get(slot) && index.phase(slot) != Phase.REMOVED) {
-      index.set(slot, index.group(slot), Phase.REMOVED, index.size(slot), index.startedMs(slot),
-          settings.rules().coldMs(), now);
-      gone.add(slot);
+  /** Another process has this slot: nothing is known of it, and while it is cold its tokens are kept. */
+  private void renew(int slot) {
+    double coldTokens = random.nextDouble();
+    states.remove(slot);
+    if (index.cold(slot, settings.rules().coldMs(), now) && states.size() < usual + MOST_STATES) {
+      states.put(slot, new Backend(slot, coldTokens));
+    }
+  }
+
+  /** The full state of a backend, built where there is none: a cold one then begins without tokens. */
+  private Backend state(int slot) {
+    Backend b = states.get(slot);
+    if (b == null) {
+      if (states.size() >= usual + MOST_STATES && now - forgotAt > REST_MEMORY_MS) {
+        forgotAt = now;
+        states.values().removeIf(Backend::forgettable);
+      }
+      b = new Backend(slot, index.cold(slot, settings.rules().coldMs(), now) ? 0 : 1);
+      // It has been listed since the start, as good as always: what comes later is cold at first.
+      b.answeredAt = startedAt;
+      states.put(slot, b);
     }
+    return b;
   }
 
   /** Drops one that is gone, unless an attempt is out there; true when it need not be looked at again. */
@@ -749,12 +781,12 @@
     if (!index.isUsed(slot) || index.phase(slot) != Phase.REMOVED) {
       return true;
     }
-    boolean unused = states.get(slot).out.isEmpty();
-    if (unused) {
-      states.remove(slot);
-      index.remove(slot);
+    if (states.containsKey(slot) && !states.get(slot).out.isEmpty()) {
+      return false;
     }
-    return unused;
+    states.remove(slot);
+    index.remove(slot);
+    return true;
   }
 
   /**
@@ -785,7 +817,7 @@
     boolean all = size <= wanted;
     int draws = all ? size : 3 * wanted;
     for (int i = 0, found = 0; i < draws && found < wanted; i++) {
-      Backend b = states.get(among.get(all ? i : random.nextInt(size)));
+      Backend b = state(among.get(all ? i : random.nextInt(size)));
       if (!usable(b, job, ignoreRest)) {
         continue;
       }
--- a/src/test/java/willowdoor/BackendIndexTest.java
+++ b/src/test/java/willowdoor/BackendIndexTest.java
@@ -11,7 +11,12 @@
 import java.util.function.IntPredicate;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
+import willowdoor.GatewayApi.BackendEntry;
 import willowdoor.GatewayApi.Phase;
+import willowdoor.GatewayApi.Roster;
+import willowdoor.GatewayApi.RosterForm;
+import willowdoor.GatewayApi.Send;
+import willowdoor.GatewayApi.Status;
 
 /** The index against plain lists that are made anew of all backends for each question. */
 class BackendIndexTest {
@@ -137,6 +142,40 @@
     }
   }
 
+  /** Of a long list a gateway has full state of few, whatever it has met. */
+  @Test
+  void fullStateIsKeptOfFew() {
+    int length = 30_000;
+    Fixtures gateway = new Fixtures(Fixtures.settings(true, 2_000, false)).backends(length);
+    assertEquals(0, gateway.policy.fullStates());
+    for (int i = 0; i < 4 * length; i++) {
+      gateway.pass(1).request("safe", "free", 1);
+      if (gateway.did(Send.class)) {
+        gateway.outcome(gateway.only(Send.class), 0, Status.REJECTED, true);
+      }
+    }
+    assertTrue(gateway.policy.fullStates() > 1_000, gateway.policy.fullStates() + " met");
+    assertTrue(gateway.policy.fullStates() < 10_000, gateway.policy.fullStates() + " kept");
+  }
+
+  /** Those that start are met with care, however many they are; each has its tokens while there is room. */
+  @Test
+  void aWholeListOfColdBackendsIsHeldWithFewFullStates() {
+    Fixtures gateway = new Fixtures(Fixtures.settings(true, 2_000, false));
+    List<BackendEntry> entries = new ArrayList<>();
+    for (int i = 0; i < 30_000; i++) {
+      entries.add(new BackendEntry(i, "a", 0, Phase.SERVING, 1, gateway.now));
+    }
+    gateway.on(new Roster(RosterForm.COMPLETE, entries));
+    assertTrue(gateway.policy.fullStates() < 5_000, gateway.policy.fullStates() + " kept");
+    int sent = 0;
+    for (int i = 0; i < 1_000; i++) {
+      gateway.request("safe", "free", 1);
+      sent += gateway.did(Send.class) ? 1 : 0;
+    }
+    assertEquals(0, sent, "sent to backends that have just started");
+  }
+
   /** However often sizes of all magnitudes come and go, the mean of those left is that of a fresh start. */
   @Test
   void theMeanSizeDoesNotDrift() {
--- a/src/test/java/willowdoor/RosterTiming.java
+++ b/src/test/java/willowdoor/RosterTiming.java
@@ -34,10 +34,10 @@
 
   private static void measure(int length, int changes) {
     SplittableRandom random = new SplittableRandom(length);
+    long[] ids = random.longs(length).toArray();
     long before = usedHeap();
     QuotaPolicy policy = new QuotaPolicy(Fixtures.settings(true, GATEWAYS, false), 1);
     policy.start(NOW_MS);
-    long[] ids = random.longs(length).toArray();
     for (int from = 0; from < length; from += SLICE) {
       List<BackendEntry> slice = new ArrayList<>();
       for (int i = from; i < Math.min(length, from + SLICE); i++) {
