--- a/src/main/java/willowdoor/net/DiscoveryClient.java
+++ b/src/main/java/willowdoor/net/DiscoveryClient.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
@@ -52,18 +53,13 @@
   private static final long SILENT_MS = 2_000 + BEGIN_MS;
   /** A message comes in one go. Part of one that stays alone would make all that follows part of it. */
   private static final long WHOLE_MS = 300;
-  private static final double LEAST_BACKOFF_MS = 100;
-  /** What the agent has counts as told without a watch: well within the second that a drain leaves. */
-  private static final double MOST_BACKOFF_MS = 200;
-  /** A watch that lasted so long was a good one; junk on each new one must not make a busy loop. */
-  private static final double GOOD_MS = 5_000;
 
   private final EventLoop loop;
   private final Clock clock;
   private final Consumer<RosterNews> listener;
   private final Dialer dialer;
   private long version;
-  private double backoffMs = LEAST_BACKOFF_MS;
+  private final WatchBackoff backoff = new WatchBackoff(() -> ThreadLocalRandom.current().nextDouble());
   private Watch watch;
   /** The one before, silent or at an address that is left: it may go on until the newer tells something. */
   private Watch before;
@@ -85,7 +81,7 @@
   /** Watches at another address; the old watch goes on until the new one tells something. */
   void moveTo(InetSocketAddress other) {
     if (!other.equals(watch.agent)) {
-      backoffMs = LEAST_BACKOFF_MS;
+      backoff.reset();
       replace(other);
     }
   }
@@ -108,9 +104,7 @@
     if (ended != watch || loop.isShuttingDown()) {
       return;
     }
-    backoffMs = clock.now() - ended.since > GOOD_MS ? LEAST_BACKOFF_MS : backoffMs;
-    double wait = backoffMs * (0.5 + ThreadLocalRandom.current().nextDouble());
-    backoffMs = Math.min(MOST_BACKOFF_MS, 2 * backoffMs);
+    double wait = backoff.waitMs(clock.now() - ended.since);
     loop.schedule(() -> {
       if (ended == watch) {
         watch = new Watch(ended.agent);
@@ -230,12 +224,20 @@
     }
 
     @Override
-    protected void channelRead0(ChannelHandlerContext ctx, ByteBuf message) throws IOException {
+    protected void channelRead0(ChannelHandlerContext ctx, ByteBuf message) {
       taken++;
       if (source == watch || source == before) {
-        RosterNews news = RosterNews.parse(ByteBufUtil.getBytes(message));
+        RosterNews news;
+        try {
+          news = RosterNews.parse(ByteBufUtil.getBytes(message));
+        } catch (IOException e) {
+          throw new DecoderException(e);
+        }
         // A version that is none must not be asked for: the watch would be refused for good.
         version = news.version() > 0 ? news.version() : version;
+        if (backoff.taken()) {
+          LOG.info("the list of backends is taken again, version " + version);
+        }
         listener.accept(news);
       }
     }
@@ -255,6 +257,10 @@
     /** Junk or a broken connection: a new watch from the last good version makes up for it. */
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      // A broken connection says nothing of the list.
+      if (cause instanceof DecoderException && backoff.notTaken()) {
+        LOG.warning("the list after version " + version + " cannot be taken: " + cause.getMessage());
+      }
       LOG.log(Level.FINE, "watch ended", cause);
       ctx.close();
     }
--- a/src/test/java/willowdoor/net/DiscoveryTest.java
+++ b/src/test/java/willowdoor/net/DiscoveryTest.java
@@ -10,9 +10,14 @@
 import java.nio.channels.SocketChannel;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.logging.Handler;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -109,6 +114,43 @@
     assertEquals(200, peers.client().ask(Peers.get("r1", 3000)).status());
   }
 
+  /** A list that nobody can take is asked for again and again, and told to those on call once. */
+  @Test
+  void aListThatCannotBeTakenIsLoggedOnce() throws Exception {
+    List<String> warnings = new CopyOnWriteArrayList<>();
+    Logger log = Logger.getLogger(DiscoveryClient.class.getName());
+    Handler handler = new Handler() {
+      @Override
+      public void publish(LogRecord line) {
+        if (line.getLevel().intValue() >= Level.WARNING.intValue()) {
+          warnings.add(line.getMessage());
+        }
+      }
+
+      @Override
+      public void flush() {
+      }
+
+      @Override
+      public void close() {
+      }
+    };
+    log.addHandler(handler);
+    try {
+      peers.start();
+      for (int i = 0; i < 4; i++) {
+        assertTrue(Peers.next(peers.watches).contains("index=7 "));
+        peers.tell("{\"version\":10,\"servers\":[{\"id\":}]}\n");
+      }
+      Peers.next(peers.watches);
+      assertEquals(1, warnings.size(), () -> warnings + "");
+      assertTrue(warnings.get(0).startsWith("the list after version 7 cannot be taken: "), warnings.get(0));
+      assertEquals(200, peers.client().ask(Peers.get("r1", 3000)).status());
+    } finally {
+      log.removeHandler(handler);
+    }
+  }
+
   /** Junk in one entry, or a list that is none, neither hides the other entries nor empties the list. */
   @Test
   void whatCannotBeUsedInAListIsPassedOver() throws Exception {
