Keep the places of backends in the index, and a pool's backend only while it has connections

BackendPool held a map entry, an address, a queue and a set for each backend listed, some 400 bytes, which for 200,000 backends is more than the heap. An entry now carries its place, which the module keeps as a number in the index (Place: IPv4 address and port, as the sockets are), and the pool looks it up through GatewayApi.Listing when a backend is first asked for. Nodes of SortedSlots grow by sixteen entries at most, which makes up for the eight bytes of a place.

--- a/src/main/java/willowdoor/BackendIndex.java
+++ b/src/main/java/willowdoor/BackendIndex.java
@@ -11,6 +11,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.IntConsumer;
+import willowdoor.GatewayApi.BackendEntry;
+import willowdoor.GatewayApi.Listing;
 import willowdoor.GatewayApi.Phase;
 
 /**
@@ -18,7 +20,7 @@
  * are made in. A backend is known by its slot, a small number that is free for another once it is removed. A
  * change costs the logarithm of the list. Nothing is decided here.
  */
-class BackendIndex {
+class BackendIndex implements Listing {
 
   static final int NONE = SortedSlots.NONE;
   private static final SortedSlots EMPTY = new SortedSlots(slot -> 0);
@@ -26,13 +28,14 @@
   private static final double LEAST_SIZE = 1e-6;
   private static final double MOST_SIZE = 1e9;
   /** The columns grow by this part of their length: little is left unused. */
-  private static final int GROWTH = 8;
+  private static final int GROWTH = 16;
   /** The low bits of an entry in the column of groups are its phase. */
   private static final int PHASE_BITS = 2;
   private static final int PHASE_MASK = (1 << PHASE_BITS) - 1;
   private static final Phase[] PHASES = Phase.values();
 
   private final LongArrayList ids = new LongArrayList();
+  private final LongArrayList places = new LongArrayList();
   private final DoubleArrayList sizes = new DoubleArrayList();
   private final DoubleArrayList starts = new DoubleArrayList();
   private final IntArrayList groupsAndPhases = new IntArrayList();
@@ -126,6 +129,23 @@
     return of == null ? EMPTY : of.serving;
   }
 
+  @Override
+  public long place(long id) {
+    int slot = find(id);
+    return slot == NONE || phase(slot) != Phase.SERVING ? BackendEntry.NOWHERE : places.getLong(slot);
+  }
+
+  @Override
+  public double startedMs(long id) {
+    int slot = find(id);
+    return slot == NONE ? 0 : startedMs(slot);
+  }
+
+  @Override
+  public boolean any() {
+    return serving.size() > 0;
+  }
+
   long id(int slot) {
     return ids.getLong(slot);
   }
@@ -227,17 +247,24 @@
       // In place of the collections' own growth by a half.
       int more = slot + Math.max(16, slot / GROWTH);
       ids.ensureCapacity(more);
+      places.ensureCapacity(more);
       sizes.ensureCapacity(more);
       starts.ensureCapacity(more);
       groupsAndPhases.ensureCapacity(more);
     }
     ids.add(0);
+    places.add(BackendEntry.NOWHERE);
     sizes.add(0);
     starts.add(0);
     groupsAndPhases.add(-1);
     return slot;
   }
 
+  /** Takes where it listens. */
+  void setPlace(int slot, long place) {
+    places.set(slot, place);
+  }
+
   /** Takes what is told of a backend now; coldMs is for how long it then counts as starting. */
   void set(int slot, int group, Phase phase, double size, double startedMs, double coldMs, double now) {
     boolean served = phase(slot) == Phase.SERVING;
--- a/src/main/java/willowdoor/GatewayApi.java
+++ b/src/main/java/willowdoor/GatewayApi.java
@@ -57,8 +57,31 @@
   public record Settings(int gateways, int self, String zone, double maxUnits, double crossZonePrice,
       boolean sizesTold, List<RequestClass> classes, List<Plan> plans, Allowed allowed, Rules rules) { }
 
-  /** One backend of a roster; startedMs is 0 when it started long ago. */
-  public record BackendEntry(long id, String zone, int cell, Phase phase, double size, double startedMs) { }
+  /**
+   * One backend of a roster; startedMs is 0 when it started long ago. Where it listens is a number that only
+   * the gateway reads; {@link #NOWHERE} where that is not told.
+   */
+  public record BackendEntry(long id, String zone, int cell, Phase phase, double size, double startedMs,
+      long place) {
+
+    public static final long NOWHERE = 0;
+
+    public BackendEntry(long id, String zone, int cell, Phase phase, double size, double startedMs) {
+      this(id, zone, cell, phase, size, startedMs, NOWHERE);
+    }
+  }
+
+  /** What a module knows of the backends that serve, for its gateway to look up. */
+  public interface Listing {
+    /** Where a backend listens; {@link BackendEntry#NOWHERE} for one that does not serve. */
+    long place(long id);
+
+    /** When a backend that serves started, as it is taken for. */
+    double startedMs(long id);
+
+    /** Whether any serves. */
+    boolean any();
+  }
 
   /** A load report; a value that was not reported is NaN. */
   public record Load(double inFlight, double serviceMs) { }
--- a/src/main/java/willowdoor/QuotaPolicy.java
+++ b/src/main/java/willowdoor/QuotaPolicy.java
@@ -119,6 +119,11 @@
     settings.plans().forEach(p -> plans.put(p.name(), p));
   }
 
+  /** What is known of the backends, always as of the last event. */
+  public Listing listing() {
+    return index;
+  }
+
   /** To be called once, before any event. */
   public List<Action> start(double nowMs) {
     now = nowMs;
@@ -739,6 +744,7 @@
     boolean same = known != BackendIndex.NONE && toldStart == x.startedMs();
     double startedMs = same ? index.startedMs(slot) : x.startedMs();
     double size = settings.sizesTold() ? x.size() : 1;
+    index.setPlace(slot, x.place());
     index.set(slot, group, x.phase(), size, startedMs, settings.rules().coldMs(), now);
     if (!same) {
       renew(slot);
--- a/src/main/java/willowdoor/SortedSlots.java
+++ b/src/main/java/willowdoor/SortedSlots.java
@@ -16,6 +16,8 @@
   /** Neighbours that hold no more than this together become one, so that a shrunken tree is small. */
   private static final int MERGED = MOST / 2;
   private static final int FIRST_CAPACITY = 4;
+  /** A node grows by so many entries at most, and is cut to what it holds at a split: little is unused. */
+  private static final int MOST_GROWTH = 16;
 
   /** Gives the key of a slot. */
   interface Key {
@@ -51,7 +53,7 @@
 
     void insert(int at, int slot) {
       if (used == slots.length) {
-        slots = Arrays.copyOf(slots, Math.min(2 * used, MOST + 1));
+        slots = Arrays.copyOf(slots, grown());
       }
       System.arraycopy(slots, at, slots, at + 1, used - at);
       slots[at] = slot;
@@ -61,7 +63,7 @@
 
     void insert(int at, Node child, long key) {
       if (used == children.length) {
-        int capacity = Math.min(2 * used, MOST + 1);
+        int capacity = grown();
         slots = Arrays.copyOf(slots, capacity);
         keys = Arrays.copyOf(keys, capacity);
         children = Arrays.copyOf(children, capacity);
@@ -85,17 +87,23 @@
       children[used] = null;
     }
 
+    private int grown() {
+      return Math.min(Math.min(2 * used, used + MOST_GROWTH), MOST + 1);
+    }
+
     /** Keeps so many entries and gives a node with the others. */
     Node split(int keep) {
       Node right = new Node();
       int end = Math.max(used, keep + FIRST_CAPACITY);
       right.slots = Arrays.copyOfRange(slots, keep, end);
+      slots = Arrays.copyOf(slots, keep);
       right.used = used - keep;
       right.count = right.used;
       if (!isLeaf()) {
         right.keys = Arrays.copyOfRange(keys, keep, end);
+        keys = Arrays.copyOf(keys, keep);
         right.children = Arrays.copyOfRange(children, keep, end);
-        Arrays.fill(children, keep, used, null);
+        children = Arrays.copyOf(children, keep);
         right.count = right.sum();
       }
       used = keep;
--- a/src/main/java/willowdoor/net/BackendPool.java
+++ b/src/main/java/willowdoor/net/BackendPool.java
@@ -17,6 +17,7 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import willowdoor.GatewayApi.BackendEntry;
+import willowdoor.GatewayApi.Listing;
 import willowdoor.GatewayApi.Phase;
 import willowdoor.GatewayApi.Status;
 
@@ -32,15 +33,24 @@
   private static final double SETTLE_MS = 4;
   private static final long SWEEP_MS = 500;
 
-  /** One backend's place and connections. */
+  /** A backend that has connections, or is about to. */
   static final class Backend {
     InetSocketAddress place;
+    private long listedPlace;
     private double startedMs;
     private boolean gone;
+    /** Connections that are open or coming up. */
+    private int connections;
     /** The last one in was used last, and is used next: the others grow old and are retired. */
     private final ArrayDeque<BackendConnection> idle = new ArrayDeque<>();
     private final Set<Attempt> connecting = new HashSet<>();
 
+    Backend(long place, double startedMs) {
+      listedPlace = place;
+      this.place = Place.address(place);
+      this.startedMs = startedMs;
+    }
+
     private void release(List<Attempt> unsent) {
       Sweep.each(idle, BackendConnection::close);
       unsent.addAll(connecting);
@@ -52,54 +62,55 @@
   private final Dialer dialer;
   private final double idleLimitMs;
   private final Places places;
+  private final Listing listing;
+  /** Those with connections, by identifier; of the others the listing tells the place when it is needed. */
   private final Map<Long, Backend> backends = new HashMap<>();
   /** Read by the admin server too. */
   private volatile boolean knowsAny;
   final IdleTrust trust = new IdleTrust();
 
-  BackendPool(EventLoop loop, Clock clock, Dialer dialer, double idleLimitMs, Places places) {
+  BackendPool(EventLoop loop, Clock clock, Dialer dialer, double idleLimitMs, Places places,
+      Listing listing) {
     this.loop = loop;
     this.clock = clock;
     this.idleLimitMs = idleLimitMs * RETIRE_AT;
     this.places = places;
+    this.listing = listing;
     this.dialer = dialer;
     Sweep.every(loop, SWEEP_MS, this::retireIdle);
   }
 
   /**
-   * Takes the places that discovery tells. What is unused or still coming up leads to nobody any more where a
-   * backend drains or is gone, or has moved or started again: another may live at its old place.
+   * Looks at what discovery told, which the listing has already. What is unused or still coming up leads to
+   * nobody any more where a backend drains or is gone, or has moved or started again: another may live at its
+   * old place.
    */
   void onRoster(RosterNews news) {
-    Set<Long> named = new HashSet<>();
     List<Backend> left = new ArrayList<>();
-    for (BackendEntry e : news.entries()) {
-      named.add(e.id());
-      if (e.phase() != Phase.SERVING) {
-        remove(e.id(), left);
-        continue;
-      }
-      Backend b = backends.computeIfAbsent(e.id(), id -> new Backend());
-      InetSocketAddress place = news.places().get(e.id());
-      if (!place.equals(b.place) || b.startedMs != e.startedMs()) {
-        if (b.place != null) {
-          left.add(b);
-        }
-        b.place = place;
-        b.startedMs = e.startedMs();
-      }
-    }
+    news.entries().forEach(e -> look(e, left));
     if (news.full()) {
-      List.copyOf(backends.keySet()).stream().filter(id -> !named.contains(id))
+      List.copyOf(backends.keySet()).stream().filter(id -> listing.place(id) == BackendEntry.NOWHERE)
           .forEach(id -> remove(id, left));
     }
-    knowsAny = !backends.isEmpty();
+    knowsAny = listing.any();
     // Only now, as what is given up may go to any backend of the list at once.
     List<Attempt> unsent = new ArrayList<>();
     left.forEach(b -> b.release(unsent));
     Sweep.each(unsent, a -> a.abandon(Status.NOT_SENT));
   }
 
+  private void look(BackendEntry e, List<Backend> left) {
+    Backend b = backends.get(e.id());
+    if (b != null && e.phase() != Phase.SERVING) {
+      remove(e.id(), left);
+    } else if (b != null && (e.place() != b.listedPlace || e.startedMs() != b.startedMs)) {
+      left.add(b);
+      b.listedPlace = e.place();
+      b.place = Place.address(e.place());
+      b.startedMs = e.startedMs();
+    }
+  }
+
   /** Guards the rule on drains: an attempt that still waits for its connection is not written any more. */
   private void remove(long id, List<Backend> left) {
     Backend b = backends.remove(id);
@@ -125,6 +136,17 @@
     }
   }
 
+  /** The backend with its connections, or null for one that does not serve. */
+  private Backend backend(long id) {
+    Backend b = backends.get(id);
+    long place = b == null ? listing.place(id) : BackendEntry.NOWHERE;
+    if (place != BackendEntry.NOWHERE) {
+      b = new Backend(place, listing.startedMs(id));
+      backends.put(id, b);
+    }
+    return b;
+  }
+
   /** Gives an attempt up that is not written whole after that time: its last byte must not go out later. */
   private void limitWrite(Attempt attempt, double startMs) {
     if (startMs < Double.POSITIVE_INFINITY) {
@@ -138,7 +160,7 @@
 
   /** Starts an attempt on an idle connection, or on a new one; it is written whole in startMs, or fails. */
   void start(long id, Attempt attempt, double startMs) {
-    Backend b = backends.get(id);
+    Backend b = backend(id);
     if (b == null || startMs <= 0 || attempt.timeoutMs <= 0) {
       attempt.end(Status.NOT_SENT, null);
       return;
@@ -187,6 +209,7 @@
 
   private void connect(Backend b, Attempt attempt) {
     places.backend(1);
+    b.connections++;
     b.connecting.add(attempt);
     ResponseDecoder decoder = new ResponseDecoder();
     BackendConnection c = new BackendConnection(this, b, decoder);
@@ -198,10 +221,10 @@
     });
     connected.addListener((ChannelFuture f) -> {
       if (f.isSuccess()) {
-        f.channel().closeFuture().addListener(closed -> places.backend(-1));
+        f.channel().closeFuture().addListener(closed -> giveBack(b));
       } else {
         // Where no socket was to be had there is no channel that could close.
-        places.backend(-1);
+        giveBack(b);
       }
     });
     connected.addListener((ChannelFuture f) -> {
@@ -209,7 +232,7 @@
       // Guards against writing what has timed out, was cancelled or must not reach a drained backend, and
       // what is for a client that has left.
       if (!attempt.wanted()) {
-        f.channel().close();
+        closeIfConnected(f);
       } else if (f.isSuccess() && clock.now() > attempt.writeBy) {
         f.channel().close();
         attempt.end(Status.NOT_SENT, null);
@@ -221,6 +244,18 @@
     });
   }
 
+  private void giveBack(Backend b) {
+    b.connections--;
+    places.backend(-1);
+  }
+
+  /** One that did not come up has closed itself, or there was no socket for it. */
+  private static void closeIfConnected(ChannelFuture connected) {
+    if (connected.isSuccess()) {
+      connected.channel().close();
+    }
+  }
+
   /**
    * A reset shows that something lives there, which took the connection and dropped it: BROKEN. Guards
    * against taking live backends for restarted ones, whatever resets: their full tables, a box between, a
@@ -255,6 +290,7 @@
         b.idle.pollFirst().close();
       }
     }
+    backends.values().removeIf(b -> b.connections == 0);
   }
 
   private boolean dropIdle() {
--- a/src/main/java/willowdoor/net/FrontDoor.java
+++ b/src/main/java/willowdoor/net/FrontDoor.java
@@ -136,9 +136,9 @@
     Places places = new Places(config.limits().places());
     loop.scheduleWithFixedDelay(() -> places.beside(started.another() ? config.limits().placesBeside() : 0),
         0, BESIDE_MS, TimeUnit.MILLISECONDS);
-    BackendPool backends = new BackendPool(loop, clock, Dialer.sockets(loop, config.connectLimitMs()),
-        config.idleLimitMs(), places);
     QuotaPolicy policy = new QuotaPolicy(config.settings(), config.seed());
+    BackendPool backends = new BackendPool(loop, clock, Dialer.sockets(loop, config.connectLimitMs()),
+        config.idleLimitMs(), places, policy.listing());
     driver = new ModuleDriver(loop, clock, policy, backends);
     clients = new ClientServer(loop, clock, driver, backends, new RequestReader(config.settings()),
         config.limits(), places, lifecycle);
--- a/src/main/java/willowdoor/net/ModuleDriver.java
+++ b/src/main/java/willowdoor/net/ModuleDriver.java
@@ -147,8 +147,8 @@
     this.counter = counter;
     double decidedAt = clock.now();
     policy.start(decidedAt).forEach(action -> execute(action, decidedAt));
-    backends.onRoster(known);
     deliver(new Roster(RosterForm.REMEMBERED, known.entries()));
+    backends.onRoster(known);
   }
 
   int held() {
--- a/src/main/java/willowdoor/net/RosterNews.java
+++ b/src/main/java/willowdoor/net/RosterNews.java
@@ -9,16 +9,14 @@
 import java.net.UnknownHostException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import willowdoor.GatewayApi.BackendEntry;
 import willowdoor.GatewayApi.Phase;
 import willowdoor.JsonFields;
 
-/** One message of discovery: the entries for the module, and where each backend listens, seen from here. */
-record RosterNews(long version, boolean full, List<BackendEntry> entries,
-    Map<Long, InetSocketAddress> places) {
+/** One message of discovery. */
+record RosterNews(long version, boolean full, List<BackendEntry> entries) {
 
   private static final JsonFactory JSON = new JsonFactory();
   private static final int MOST_BACKENDS = 10_000;
@@ -41,7 +39,6 @@
       throw new IOException("a list of " + servers.size() + " backends");
     }
     List<BackendEntry> entries = new ArrayList<>();
-    Map<Long, InetSocketAddress> places = new HashMap<>();
     for (Map<String, Object> s : servers) {
       String name = JsonFields.text(s, "id");
       long id = number(name);
@@ -50,19 +47,16 @@
         case "left" -> Phase.REMOVED;
         default -> Phase.DRAINING;
       };
-      InetSocketAddress address = address(JsonFields.text(s, "addr"));
-      if (name.isEmpty() || address == null && phase == Phase.SERVING) {
+      long place = Place.of(address(JsonFields.text(s, "addr")));
+      if (name.isEmpty() || place == BackendEntry.NOWHERE && phase == Phase.SERVING) {
         // One entry that cannot be used must not keep the others from being told, drains above all.
         continue;
       }
-      if (address != null) {
-        places.put(id, address);
-      }
       entries.add(new BackendEntry(id, JsonFields.text(s, "zone"), (int) JsonFields.number(s, "cell"), phase,
-          JsonFields.number(s, "weight", 1), JsonFields.number(s, "started_ms")));
+          JsonFields.number(s, "weight", 1), JsonFields.number(s, "started_ms"), place));
     }
     return new RosterNews((long) JsonFields.number(message, "version"),
-        Boolean.TRUE.equals(message.get("full")), entries, places);
+        Boolean.TRUE.equals(message.get("full")), entries);
   }
 
   /** A backend's name as the number that the module knows it by: FNV-1a, alike at every front door. */
--- a/src/main/java/willowdoor/net/WarmUp.java
+++ b/src/main/java/willowdoor/net/WarmUp.java
@@ -8,12 +8,9 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
 import io.netty.channel.embedded.EmbeddedChannel;
-import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import willowdoor.GatewayApi.BackendEntry;
@@ -74,9 +71,10 @@
 
   private void exchange(double until) {
     Places places = new Places(Integer.MAX_VALUE / 2);
+    QuotaPolicy policy = new QuotaPolicy(config.settings(), 1);
     BackendPool pool = new BackendPool(loop, clock, (address, handler) -> open(backends, handler),
-        config.idleLimitMs(), places);
-    ModuleDriver driver = new ModuleDriver(loop, clock, new QuotaPolicy(config.settings(), 1), pool);
+        config.idleLimitMs(), places, policy.listing());
+    ModuleDriver driver = new ModuleDriver(loop, clock, policy, pool);
     ClientServer clients = new ClientServer(loop, clock, driver, pool, new RequestReader(config.settings()),
         config.limits(), places, new Lifecycle(clock));
     CounterClient counter = new CounterClient(loop, clock, (address, handler) -> open(counters, handler),
@@ -130,12 +128,10 @@
 
   private static RosterNews roster() {
     List<BackendEntry> entries = new ArrayList<>();
-    Map<Long, InetSocketAddress> places = new HashMap<>();
     for (long id = 1; id <= BACKENDS; id++) {
-      entries.add(new BackendEntry(id, id % 2 == 0 ? "a" : "b", 0, Phase.SERVING, 1, 0));
-      places.put(id, InetSocketAddress.createUnresolved("backend-" + id, 1));
+      entries.add(new BackendEntry(id, id % 2 == 0 ? "a" : "b", 0, Phase.SERVING, 1, 0, id));
     }
-    return new RosterNews(1, true, entries, places);
+    return new RosterNews(1, true, entries);
   }
 
   private String request(int number) {
--- a/src/test/java/willowdoor/net/BackendPoolTest.java
+++ b/src/test/java/willowdoor/net/BackendPoolTest.java
@@ -23,12 +23,10 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
 import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -58,14 +56,13 @@
 
   private BackendPool pool(int places, int port) {
     BackendPool pool = new BackendPool(loop, new Clock(), Dialer.sockets(loop, 5_000), 10_000,
-        new Places(places));
-    pool.onRoster(news(port));
+        new Places(places), new Listed(port));
+    pool.onRoster(news());
     return pool;
   }
 
-  private static RosterNews news(int port) {
-    return new RosterNews(1, true, List.of(new BackendEntry(1, "a", 0, Phase.SERVING, 1, 0)),
-        Map.of(1L, new InetSocketAddress(InetAddress.getLoopbackAddress(), port)));
+  private static RosterNews news() {
+    return new RosterNews(1, true, List.of(new BackendEntry(1, "a", 0, Phase.SERVING, 1, 0)));
   }
 
   private Attempt attempt(double timeoutMs) {
@@ -121,8 +118,8 @@
         (address, handler) -> {
           dialled.pipeline().addLast(handler);
           return connected;
-        }, 10_000, new Places(100));
-    pool.onRoster(news(1));
+        }, 10_000, new Places(100), new Listed(1));
+    pool.onRoster(news());
     return pool;
   }
 
@@ -159,8 +156,8 @@
       server.setSoTimeout(10_000);
       loop.submit(() -> {
         BackendPool pool = new BackendPool(loop, new Clock(nanos::get), Dialer.sockets(loop, 5_000), 10_000,
-            new Places(100));
-        pool.onRoster(news(server.getLocalPort()));
+            new Places(100), new Listed(server.getLocalPort()));
+        pool.onRoster(news());
         pool.start(1, attempt(60_000), 20_000);
         nanos.addAndGet(TimeUnit.SECONDS.toNanos(21));
       }).sync();
--- a/src/test/java/willowdoor/net/CrossingTest.java
+++ b/src/test/java/willowdoor/net/CrossingTest.java
@@ -21,7 +21,6 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -77,17 +76,21 @@
     second.close();
   }
 
+  private static long at(ServerSocket place) {
+    return Place.of((InetSocketAddress) place.getLocalSocketAddress());
+  }
+
   private static RosterNews news(boolean full, long id, ServerSocket place, Phase phase, double startedMs) {
-    return new RosterNews(1, full, List.of(new BackendEntry(id, "a", 0, phase, 1, startedMs)),
-        Map.of(id, (InetSocketAddress) place.getLocalSocketAddress()));
+    return new RosterNews(1, full, List.of(new BackendEntry(id, "a", 0, phase, 1, startedMs, at(place))));
   }
 
   /** A driver whose module asks no counter and knows the first backend; to be called on the loop. */
   private void start() throws IOException {
     settings = Peers.parse(peers.config().replace("\"Counter\":true", "\"Counter\":false")
         .replace("\"RepeatWindowMs\":4000", "\"RepeatWindowMs\":1000")).settings();
-    driver = new ModuleDriver(loop, clock, new QuotaPolicy(settings, 1),
-        new BackendPool(loop, clock, Dialer.sockets(loop, 5_000), 10_000, new Places(100)));
+    QuotaPolicy policy = new QuotaPolicy(settings, 1);
+    driver = new ModuleDriver(loop, clock, policy, new BackendPool(loop, clock, Dialer.sockets(loop, 5_000),
+        10_000, new Places(100), policy.listing()));
     driver.start(null, news(true, 1, first, Phase.SERVING, 0));
   }
 
@@ -189,8 +192,7 @@
       take("r1");
       driver.onRoster(new RosterNews(2, false,
           List.of(new BackendEntry(1, "a", 0, Phase.DRAINING, 1, 0),
-              new BackendEntry(2, "a", 0, Phase.SERVING, 1, 0)),
-          Map.of(2L, (InetSocketAddress) second.getLocalSocketAddress())));
+              new BackendEntry(2, "a", 0, Phase.SERVING, 1, 0, at(second)))));
       return null;
     }).sync();
     assertEquals("", heard(first));
