Read lists entry by entry without a cap of their own, and remove many that left in slices

A message of discovery was collected whole, up to 4 MiB (DiscoveryClient.MOST_LIST), parsed into maps and refused beyond 10,000 entries (RosterNews.MOST_BACKENDS). RosterReader takes the bytes as they come, 4 KB in a turn of the loop, and hands on each piece as RosterForm.PART: its entries hold at once, a drain before the rest of its list is there. A watch that ends inside a list leaves its entries as changes and its version as it was, so that the next asks from the last whole one. The limit is a sixth of the memory of `limits`, or half of the heap where that is less (Bounds). A list may now pause for 300 ms at most, while before all of it had to be there within that.

--- a/src/main/java/willowdoor/BackendIndex.java
+++ b/src/main/java/willowdoor/BackendIndex.java
@@ -51,6 +51,9 @@
   private final List<Cell> cells = new ArrayList<>();
   /** Exact, so that it does not drift however many changes there are. */
   private BigDecimal total = BigDecimal.ZERO;
+  /** While some that have left remain: those that have not, and the first slot still to be looked at. */
+  private BitSet kept;
+  private int swept;
   private double meanSize = 1;
   private boolean meanKnown = true;
 
@@ -132,7 +135,8 @@
   @Override
   public long place(long id) {
     int slot = find(id);
-    return slot == NONE || phase(slot) != Phase.SERVING ? BackendEntry.NOWHERE : places.getLong(slot);
+    boolean serves = slot != NONE && phase(slot) == Phase.SERVING && !hasLeft(slot);
+    return serves ? places.getLong(slot) : BackendEntry.NOWHERE;
   }
 
   @Override
@@ -267,6 +271,9 @@
 
   /** Takes what is told of a backend now; coldMs is for how long it then counts as starting. */
   void set(int slot, int group, Phase phase, double size, double startedMs, double coldMs, double now) {
+    if (kept != null) {
+      kept.set(slot);
+    }
     boolean served = phase(slot) == Phase.SERVING;
     boolean serves = phase == Phase.SERVING;
     boolean moved = served != serves || group(slot) != group;
@@ -292,14 +299,37 @@
     }
   }
 
-  /** Takes all backends whose slots are not named for removed, and hands over those slots. */
-  void withdrawOthers(BitSet named, IntConsumer withdrawn) {
-    for (int slot = named.nextClearBit(0); slot < ids.size(); slot = named.nextClearBit(slot + 1)) {
-      if (isUsed(slot) && phase(slot) != Phase.REMOVED) {
-        set(slot, group(slot), Phase.REMOVED, size(slot), startedMs(slot), 0, 0);
-        withdrawn.accept(slot);
+  /**
+   * All backends but those whose slots are named, and those that are told from now on, have left: they do not
+   * serve any more, and {@link #sweep} removes them.
+   */
+  void keepOnly(BitSet named) {
+    kept = named;
+    swept = 0;
+  }
+
+  /** Removes up to so many of those that have left, and hands over their slots; true if any remain. */
+  boolean sweep(int most, IntConsumer removed) {
+    int count = 0;
+    while (kept != null && count < most) {
+      swept = kept.nextClearBit(swept);
+      if (swept >= ids.size()) {
+        kept = null;
+      } else if (isUsed(swept) && phase(swept) != Phase.REMOVED) {
+        set(swept, group(swept), Phase.REMOVED, size(swept), startedMs(swept), 0, 0);
+        removed.accept(swept);
+        count++;
+        swept++;
+      } else {
+        swept++;
       }
     }
+    return kept != null;
+  }
+
+  /** Whether a backend has left, though its orders still have it. */
+  boolean hasLeft(int slot) {
+    return kept != null && slot >= swept && !kept.get(slot);
   }
 
   /** Takes a backend for started then, whatever was told. */
--- a/src/main/java/willowdoor/GatewayApi.java
+++ b/src/main/java/willowdoor/GatewayApi.java
@@ -35,8 +35,12 @@
 
   public enum Phase { SERVING, DRAINING, REMOVED }
 
-  /** A roster holds only what changed, all backends, all as seen in an earlier life, or is a failure. */
-  public enum RosterForm { CHANGES, COMPLETE, REMEMBERED, FAILED }
+  /**
+   * A roster holds only what changed, all backends, all as seen in an earlier life, or is a failure. PART is
+   * a piece of a list of which more follows: the next roster of another form is its end, and says what all of
+   * it was. Entries hold from their piece on.
+   */
+  public enum RosterForm { CHANGES, COMPLETE, REMEMBERED, FAILED, PART }
 
   /** One class of requests: worth, time wanted, time allowed, and whether it may run again. */
   public record RequestClass(String name, double value, double lateValue, double aimMs, double deadlineMs,
--- a/src/main/java/willowdoor/QuotaPolicy.java
+++ b/src/main/java/willowdoor/QuotaPolicy.java
@@ -68,6 +68,8 @@
   private static final int MOST_STATES = 4_000;
   /** A backend that has rested and was not met for this long is like a new one. */
   private static final double REST_MEMORY_MS = 10_000;
+  /** Backends that are removed at once, of many that have left: about a millisecond. */
+  private static final int SWEPT_AT_ONCE = 200;
   /** What is learned of a backend and faded to this is worth nothing. */
   private static final double FORGOTTEN = 0.001;
   /** Backends compared for a request, over all gateways; two at least, as equal stale reports make a herd. */
@@ -702,6 +704,9 @@
   private final Int2ObjectOpenHashMap<Backend> states = new Int2ObjectOpenHashMap<>();
   /** Slots of those that are gone, or were when last looked at. */
   private final IntArrayList gone = new IntArrayList();
+  /** Slots named by the list whose parts are coming in, or null. */
+  private BitSet listed;
+  private boolean sweeping;
   private final GroupReaches reaches =
       new GroupReaches(() -> new Reach(new Mean(NEWEST, PRESSURE_LIFE_MS, now)));
   private double fleetService = UNKNOWN_SERVICE_MS;
@@ -720,21 +725,32 @@
       out.add(new WakeAt(now + 1000, "follow"));
       return;
     }
-    if (e.form() == RosterForm.CHANGES) {
-      e.entries().forEach(this::take);
-    } else {
-      BitSet named = new BitSet(index.capacity());
-      e.entries().forEach(x -> named.set(take(x)));
-      index.withdrawOthers(named, gone::add);
+    if (listed == null && e.form() != RosterForm.CHANGES) {
+      listed = new BitSet(index.capacity());
+    }
+    e.entries().forEach(this::take);
+    if (e.form() == RosterForm.COMPLETE || e.form() == RosterForm.REMEMBERED) {
+      index.keepOnly(listed);
+    }
+    listed = e.form() == RosterForm.PART ? listed : null;
+    sweep();
+  }
+
+  /** Removes those that have left, by and by where there are many, so that requests do not wait for that. */
+  private void sweep() {
+    boolean more = index.sweep(SWEPT_AT_ONCE, gone::add);
+    if (more && !sweeping) {
+      out.add(new WakeAt(now + 1, "sweep"));
     }
+    sweeping = more;
     gone.removeIf(this::forget);
     usual = Math.min(index.serving().size(),
         Math.max(SUBSET, SUBSET * index.serving().size() / Math.max(1, settings.gateways())));
     warmAt = Double.NEGATIVE_INFINITY;
   }
 
-  /** Takes one entry, and gives its slot; one that has started again is a new backend. */
-  private int take(BackendEntry x) {
+  /** Takes one entry; one that has started again is a new backend. */
+  private void take(BackendEntry x) {
     int group = index.group(x.zone(), x.cell());
     reaches.know(group, x.zone(), x.cell());
     int known = index.find(x.id());
@@ -754,7 +770,9 @@
     if (x.phase() == Phase.REMOVED) {
       gone.add(slot);
     }
-    return slot;
+    if (listed != null) {
+      listed.set(slot);
+    }
   }
 
   /** Another process has this slot: nothing is known of it, and while it is cold its tokens are kept. */
@@ -840,7 +858,7 @@
   private boolean usable(Backend b, Job job, boolean ignoreRest) {
     boolean trialBarred = b.trial && (!b.out.isEmpty() || job.type.repeat() == Repeat.UNSAFE);
     boolean resting = !ignoreRest && (now < b.restUntil || trialBarred || b.nearFailing(now) > FAILING_SHARE);
-    return now >= b.fullUntil && !resting
+    return !index.hasLeft(b.slot) && now >= b.fullUntil && !resting
         && (!b.cold(settings.rules(), now) || coldRoom(b));
   }
 
@@ -1192,6 +1210,9 @@
   private void onWoken(Woken e) {
     if (e.label().equals("follow")) {
       out.add(new FollowRoster());
+    } else if (e.label().equals("sweep")) {
+      sweeping = false;
+      sweep();
     } else if (now >= wakeAt) {
       (stalled() ? List.<Job>of() : List.copyOf(open.values())).forEach(this::look);
       arm(stalled() ? 1 : open.isEmpty() ? PULSE_MS : TICK_MS);
--- a/src/main/java/willowdoor/net/Bounds.java
+++ b/src/main/java/willowdoor/net/Bounds.java
@@ -5,7 +5,7 @@
  * the whole process down (a class that loads late, a log line), so all kinds of sockets get fitting parts;
  * smaller ones while a second process beside this one has the same limits, as in an upgrade.
  */
-record Bounds(int places, int placesBeside, int bodyBytes, int passing, double cores) {
+record Bounds(int places, int placesBeside, int bodyBytes, int passing, int backends, double cores) {
 
   /** Descriptors of the JVM and of the event loop: its files, the jar, epoll, timer and event descriptors. */
   private static final int OWN = 24;
@@ -21,10 +21,19 @@
   private static final double PASSING_PART = 1.0 / 8;
   private static final int PASSING_BYTES = 64 * 1024;
 
+  /** For what discovery tells of backends; each takes so much in the index, and little is left unused. */
+  private static final double BACKENDS_PART = 1.0 / 6;
+  private static final double HEAP_PART = 1.0 / 2;
+  private static final int BACKEND_BYTES = 80;
+
+  private static int backends(double memoryMb, double heapBytes) {
+    return (int) (Math.min(memoryMb * (1 << 20) * BACKENDS_PART, heapBytes * HEAP_PART) / BACKEND_BYTES);
+  }
+
   static Bounds of(double sockets, double memoryMb, double cores) {
     return new Bounds(Math.max(16, (int) sockets - OWN - PEERS - AdminServer.DESCRIPTORS - MARGIN),
         Math.max(16, (int) sockets / 2 - OWN - PEERS / 2 - AdminServer.DESCRIPTORS),
         (int) (memoryMb * BODY_PART * (1 << 20)), (int) (memoryMb * PASSING_PART * (1 << 20) / PASSING_BYTES),
-        cores);
+        backends(memoryMb, Runtime.getRuntime().maxMemory()), cores);
   }
 }
--- a/src/main/java/willowdoor/net/Dialer.java
+++ b/src/main/java/willowdoor/net/Dialer.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.RecvByteBufAllocator;
 import java.net.InetSocketAddress;
 
 /** Opens connections to backends, to the counter and to discovery. */
@@ -15,11 +16,16 @@
 
   /** Real ones, driven by the loop, that come up within the limit or not at all. */
   static Dialer sockets(EventLoop loop, double limitMs) {
+    return sockets(loop, limitMs, Transport.smallReads());
+  }
+
+  /** The same, which read as the allocator says. */
+  static Dialer sockets(EventLoop loop, double limitMs, RecvByteBufAllocator reads) {
     Bootstrap bootstrap = new Bootstrap().group(loop).channel(Transport.BEST.socket())
         .option(ChannelOption.TCP_NODELAY, true)
         .option(ChannelOption.WRITE_BUFFER_WATER_MARK, Transport.FEW_WAITING)
         .option(ChannelOption.SO_SNDBUF, Transport.FEW_SENT)
-        .option(ChannelOption.RECVBUF_ALLOCATOR, Transport.smallReads())
+        .option(ChannelOption.RECVBUF_ALLOCATOR, reads)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.ceil(limitMs));
     return (address, handler) -> bootstrap.clone().handler(handler).connect(address);
   }
--- a/src/main/java/willowdoor/net/DiscoveryClient.java
+++ b/src/main/java/willowdoor/net/DiscoveryClient.java
@@ -7,8 +7,8 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
@@ -19,7 +19,6 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
-import io.netty.handler.codec.json.JsonObjectDecoder;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.ThreadLocalRandom;
@@ -46,34 +45,45 @@
 final class DiscoveryClient {
 
   private static final Logger LOG = Logger.getLogger(DiscoveryClient.class.getName());
-  private static final int MOST_LIST = 4 << 20;
+  /** Read at once, of a list too: some thirty entries, so that what else the loop has to do comes between. */
+  private static final int READ_BYTES = 4 * 1024;
   /** The agent is on this machine and answers at once: a watch that has not begun by then is broken. */
-  static final long BEGIN_MS = 500;
+  private static final long BEGIN_MS = 500;
   /** Empty lines come every 2 s, the first of them too. With this much more, the watch is broken. */
   private static final long SILENT_MS = 2_000 + BEGIN_MS;
-  /** A message comes in one go. Part of one that stays alone would make all that follows part of it. */
+  /** A message comes without a pause. Part of one that stays alone would make all that follows part of it. */
   private static final long WHOLE_MS = 300;
 
   private final EventLoop loop;
   private final Clock clock;
   private final Consumer<RosterNews> listener;
   private final Dialer dialer;
+  private final int mostBackends;
   private long version;
   private final WatchBackoff backoff = new WatchBackoff(() -> ThreadLocalRandom.current().nextDouble());
   private Watch watch;
   /** The one before, silent or at an address that is left: it may go on until the newer tells something. */
   private Watch before;
 
+  /** Asks for what came after that version, in lists of so many backends at most. */
   DiscoveryClient(EventLoop loop, Clock clock, Dialer dialer, InetSocketAddress agent, long version,
-      Consumer<RosterNews> listener) {
+      int mostBackends, Consumer<RosterNews> listener) {
     this.loop = loop;
     this.clock = clock;
     this.dialer = dialer;
     this.version = version;
+    this.mostBackends = mostBackends;
     this.listener = listener;
     watch = new Watch(agent);
   }
 
+  /** Sockets to the agent, which come up within the time in which it has to answer. */
+  static Dialer sockets(EventLoop loop) {
+    FixedRecvByteBufAllocator reads = new FixedRecvByteBufAllocator(READ_BYTES);
+    reads.maxMessagesPerRead(1);
+    return Dialer.sockets(loop, BEGIN_MS, reads);
+  }
+
   void start() {
     watch.connect();
   }
@@ -95,6 +105,8 @@
 
   private void leave() {
     if (before != null) {
+      // First, as a new list may be told from now on.
+      before.reader.end();
       before.close();
       before = null;
     }
@@ -119,11 +131,13 @@
     private final double since = clock.now();
     /** When it was connected, began, or brought some of its body last: bytes of less are no sign of life. */
     private double heardAt = since;
+    private final RosterReader reader;
     private boolean begun;
     private Channel channel;
 
     Watch(InetSocketAddress agent) {
       this.agent = agent;
+      reader = new RosterReader(mostBackends, DiscoveryClient.this::take);
     }
 
     void connect() {
@@ -167,9 +181,7 @@
 
     @Override
     protected void initChannel(Channel ch) {
-      Messages messages = new Messages();
-      ch.pipeline().addLast(new HttpClientCodec(), new Unwrapper(this), messages,
-          new Listener(this, messages));
+      ch.pipeline().addLast(new HttpClientCodec(), new Unwrapper(this), new Listener(this));
     }
   }
 
@@ -202,67 +214,71 @@
     }
   }
 
-  /** Objects one behind the other, each on one line or on many. */
-  private static final class Messages extends JsonObjectDecoder {
-    Messages() {
-      super(MOST_LIST);
-    }
-
-    boolean holdsPart() {
-      return actualReadableBytes() > 0;
+  private void take(RosterNews news) {
+    // A version that is none must not be asked for: the watch would be refused for good.
+    if (news.version() > 0) {
+      version = news.version();
+      if (backoff.taken()) {
+        LOG.info("the list of backends is taken again, version " + version);
+      }
     }
+    listener.accept(news);
   }
 
+  /** Hands the bytes of one watch to its reader. */
   private final class Listener extends SimpleChannelInboundHandler<ByteBuf> {
     private final Watch source;
-    private final Messages messages;
-    private int taken;
+    private boolean failed;
+    private long pieces;
 
-    Listener(Watch source, Messages messages) {
+    Listener(Watch source) {
       this.source = source;
-      this.messages = messages;
     }
 
     @Override
-    protected void channelRead0(ChannelHandlerContext ctx, ByteBuf message) {
-      taken++;
-      if (source == watch || source == before) {
-        RosterNews news;
+    protected void channelRead0(ChannelHandlerContext ctx, ByteBuf bytes) {
+      pieces++;
+      if (!failed && (source == watch || source == before)) {
         try {
-          news = RosterNews.parse(ByteBufUtil.getBytes(message));
+          source.reader.read(ByteBufUtil.getBytes(bytes));
         } catch (IOException e) {
-          throw new DecoderException(e);
+          failed = true;
+          notTaken(e);
+          ctx.close();
         }
-        // A version that is none must not be asked for: the watch would be refused for good.
-        version = news.version() > 0 ? news.version() : version;
-        if (backoff.taken()) {
-          LOG.info("the list of backends is taken again, version " + version);
-        }
-        listener.accept(news);
       }
     }
 
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) {
-      if (messages.holdsPart()) {
-        int then = taken;
+      if (source.reader.holdsPart()) {
+        long then = pieces;
         loop.schedule(() -> {
-          if (messages.holdsPart() && taken == then) {
+          if (source.reader.holdsPart() && pieces == then) {
             ctx.close();
           }
         }, WHOLE_MS, TimeUnit.MILLISECONDS);
       }
     }
 
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+      if (source == watch || source == before) {
+        source.reader.end();
+      }
+    }
+
     /** Junk or a broken connection: a new watch from the last good version makes up for it. */
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-      // A broken connection says nothing of the list.
-      if (cause instanceof DecoderException && backoff.notTaken()) {
-        LOG.warning("the list after version " + version + " cannot be taken: " + cause.getMessage());
-      }
       LOG.log(Level.FINE, "watch ended", cause);
       ctx.close();
     }
   }
+
+  private void notTaken(IOException cause) {
+    if (backoff.notTaken()) {
+      LOG.warning("the list after version " + version + " cannot be taken: " + cause.getMessage());
+    }
+  }
 }
--- a/src/main/java/willowdoor/net/FrontDoor.java
+++ b/src/main/java/willowdoor/net/FrontDoor.java
@@ -146,8 +146,8 @@
         config.counter(), config.settings().allowed().countLimitMs(), driver::onCounted);
     counter.start();
     driver.start(counter, config.known());
-    discovery = new DiscoveryClient(loop, clock, Dialer.sockets(loop, DiscoveryClient.BEGIN_MS),
-        config.discovery(), config.known().version(), driver::onRoster);
+    discovery = new DiscoveryClient(loop, clock, DiscoveryClient.sockets(loop), config.discovery(),
+        config.known().version(), config.limits().backends(), driver::onRoster);
     discovery.start();
   }
 
--- a/src/main/java/willowdoor/net/ModuleDriver.java
+++ b/src/main/java/willowdoor/net/ModuleDriver.java
@@ -211,7 +211,7 @@
 
   /** The module hears it first: it chooses anew for attempts that the pool gives up because of it. */
   void onRoster(RosterNews news) {
-    deliver(new Roster(news.full() ? RosterForm.COMPLETE : RosterForm.CHANGES, news.entries()));
+    deliver(new Roster(news.form(), news.entries()));
     backends.onRoster(news);
   }
 
--- a/src/test/java/willowdoor/BackendIndexTest.java
+++ b/src/test/java/willowdoor/BackendIndexTest.java
@@ -17,6 +17,8 @@
 import willowdoor.GatewayApi.RosterForm;
 import willowdoor.GatewayApi.Send;
 import willowdoor.GatewayApi.Status;
+import willowdoor.GatewayApi.WakeAt;
+import willowdoor.GatewayApi.Woken;
 
 /** The index against plain lists that are made anew of all backends for each question. */
 class BackendIndexTest {
@@ -176,6 +178,86 @@
     assertEquals(0, sent, "sent to backends that have just started");
   }
 
+  private static List<BackendEntry> entries(int from, int to, Phase phase) {
+    List<BackendEntry> entries = new ArrayList<>();
+    for (int i = from; i < to; i++) {
+      entries.add(new BackendEntry(i, "a", i % 7, phase, 1, 0, i + 1));
+    }
+    return entries;
+  }
+
+  private static Set<Long> listed(Fixtures gateway, int most) {
+    Set<Long> listed = new HashSet<>();
+    for (long id = 0; id < most; id++) {
+      if (gateway.policy.listing().place(id) == id + 1) {
+        listed.add(id);
+      }
+    }
+    return listed;
+  }
+
+  private static long backendOfNextRequest(Fixtures gateway) {
+    gateway.request("safe", "free", 1);
+    Send send = gateway.only(Send.class);
+    gateway.outcome(send, 0, Status.OK, true);
+    return send.backend();
+  }
+
+  /** A whole list in pieces leaves those that none of them named, and one that is cut leaves all. */
+  @Test
+  void onlyAWholeListTellsWhoHasLeft() {
+    Fixtures gateway = new Fixtures(Fixtures.settings(true, 2, false));
+    gateway.on(new Roster(RosterForm.COMPLETE, entries(0, 4, Phase.SERVING)));
+    gateway.on(new Roster(RosterForm.PART, entries(0, 2, Phase.SERVING)));
+    gateway.on(new Roster(RosterForm.CHANGES, List.of()));
+    gateway.on(new Roster(RosterForm.PART, entries(0, 1, Phase.SERVING)));
+    assertEquals(Set.of(0L, 1L, 2L, 3L), listed(gateway, 5));
+    gateway.on(new Roster(RosterForm.COMPLETE, entries(2, 3, Phase.SERVING)));
+    assertEquals(Set.of(0L, 2L), listed(gateway, 5));
+    for (int i = 0; i < 50; i++) {
+      assertTrue(Set.of(0L, 2L).contains(backendOfNextRequest(gateway)));
+    }
+  }
+
+  /** A piece that drains backends holds at once, whatever the rest of its list is. */
+  @Test
+  void aDrainHoldsFromItsPieceOn() {
+    Fixtures gateway = Fixtures.counted();
+    gateway.on(new Roster(RosterForm.PART, entries(0, 3, Phase.DRAINING)));
+    for (int i = 0; i < 50; i++) {
+      assertEquals(3, backendOfNextRequest(gateway));
+    }
+  }
+
+  /** Thousands that left with one list get nothing from then on, and are removed by and by. */
+  @Test
+  void manyThatLeaveAtOnceGetNothingMoreThoughTheyAreRemovedInSlices() {
+    Fixtures gateway = new Fixtures(Fixtures.settings(true, 2, false));
+    gateway.on(new Roster(RosterForm.COMPLETE, entries(0, 10_500, Phase.SERVING)));
+    gateway.on(new Roster(RosterForm.COMPLETE, entries(10_499, 10_503, Phase.SERVING)));
+    int slices = 0;
+    while (gateway.did(WakeAt.class)) {
+      slices++;
+      assertEquals(BackendEntry.NOWHERE, gateway.policy.listing().place(3));
+      for (int i = 0; i < 3; i++) {
+        gateway.request("safe", "free", 1);
+        if (gateway.did(Send.class)) {
+          Send send = gateway.only(Send.class);
+          boolean toldAgain = send.backend() == 10_400 && slices > 10;
+          assertTrue(send.backend() >= 10_499 || toldAgain, "sent to " + send.backend() + ", which has left");
+          gateway.outcome(send, 0, Status.OK, true);
+        }
+      }
+      // One that is told of again while others are removed stays.
+      if (slices == 10) {
+        gateway.on(new Roster(RosterForm.CHANGES, entries(10_400, 10_401, Phase.SERVING)));
+      }
+      gateway.pass(1).on(new Woken("sweep"));
+    }
+    assertTrue(slices > 10, slices + " slices");
+    assertEquals(Set.of(10_400L, 10_499L, 10_500L, 10_501L, 10_502L), listed(gateway, 10_600));
+  }
+
   /** However often sizes of all magnitudes come and go, the mean of those left is that of a fresh start. */
   @Test
   void theMeanSizeDoesNotDrift() {
--- a/src/test/java/willowdoor/net/DiscoveryFailuresTest.java
+++ b/src/test/java/willowdoor/net/DiscoveryFailuresTest.java
@@ -98,7 +98,7 @@
     CompletableFuture<Long> told = new CompletableFuture<>();
     AtomicInteger calls = new AtomicInteger();
     AtomicLong silentSince = new AtomicLong();
-    Dialer sockets = Dialer.sockets(loop, DiscoveryClient.BEGIN_MS);
+    Dialer sockets = DiscoveryClient.sockets(loop);
     InetSocketAddress agent = (InetSocketAddress) peers.listen(50, (in, out, socket) -> {
       Peers.read(in);
       int call = calls.get();
--- /dev/null
+++ b/src/test/java/willowdoor/net/ListTiming.java
@@ -0,0 +1,115 @@
+package willowdoor.net;
+
+import static java.nio.charset.StandardCharsets.US_ASCII;
+
+import java.io.IOException;
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadMXBean;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.function.IntPredicate;
+import willowdoor.GatewayApi.Action;
+import willowdoor.GatewayApi.Roster;
+import willowdoor.GatewayApi.Settings;
+import willowdoor.GatewayApi.WakeAt;
+import willowdoor.GatewayApi.Woken;
+import willowdoor.QuotaPolicy;
+import willowdoor.WireSettings;
+
+/**
+ * Prints how long a whole list, and a zone that goes at once, hold the loop, by the clock and by the thread's
+ * own processor time, which leaves out collections and other programs; and the heap in use after each.
+ */
+final class ListTiming {
+
+  private static final ThreadMXBean THREADS = ManagementFactory.getThreadMXBean();
+  private static final int LENGTH = 200_000;
+  private static final int ZONES = 19;
+  private static final int CELLS = 20;
+  private static final int READ_BYTES = 4 * 1024;
+  private static final int ENTRY_BYTES = 160;
+  private static final double NOW_MS = 1_000_000;
+
+  private final QuotaPolicy policy;
+  private final RosterReader reader;
+  private final double[] micros = new double[LENGTH];
+  private final double[] ownMicros = new double[LENGTH];
+  private int steps;
+  private boolean sweeps;
+
+  private ListTiming(Settings settings) {
+    policy = new QuotaPolicy(settings, 1);
+    policy.start(NOW_MS);
+    reader = new RosterReader(Integer.MAX_VALUE,
+        news -> take(policy.on(NOW_MS, new Roster(news.form(), news.entries()))));
+  }
+
+  public static void main(String[] arguments) throws IOException {
+    Settings settings = WireSettings.read(Map.of("Balancers", 2_000));
+    for (int round = 0; round < 2; round++) {
+      ListTiming timing = new ListTiming(settings);
+      timing.tell("first list", true, "active", i -> true);
+      timing.tell("the same list again", true, "active", i -> true);
+      timing.tell("a zone told as left", false, "left", i -> i % ZONES == 0);
+      timing.tell("a whole list without another zone", true, "active", i -> i % ZONES > 1);
+    }
+  }
+
+  private void take(List<Action> actions) {
+    sweeps = actions.stream().anyMatch(a -> a instanceof WakeAt wake && wake.label().equals("sweep"));
+  }
+
+  private void tell(String name, boolean full, String state, IntPredicate which) throws IOException {
+    steps = 0;
+    StringBuilder text = new StringBuilder("{\"version\":7,\"full\":" + full + ",\"servers\":[");
+    String comma = "";
+    for (int i = 0; i < LENGTH; i++) {
+      if (which.test(i)) {
+        text.append(comma).append(entry(i, state));
+        comma = ",";
+      }
+      if (text.length() > READ_BYTES - ENTRY_BYTES) {
+        read(text);
+      }
+    }
+    read(text.append("]}\n"));
+    while (sweeps) {
+      step(() -> take(policy.on(NOW_MS, new Woken("sweep"))));
+    }
+    Arrays.sort(micros, 0, steps);
+    Arrays.sort(ownMicros, 0, steps);
+    double sum = Arrays.stream(micros, 0, steps).sum();
+    System.gc();
+    Runtime runtime = Runtime.getRuntime();
+    System.out.printf("%-34s %5d steps, %5.0f ms; us a step: median %4.0f, p99 %5.0f, most %6.0f, own %6.0f; "
+        + "%4.1f MB%n", name, steps, sum / 1e3, micros[steps / 2], micros[(int) (0.99 * steps)],
+        micros[steps - 1], ownMicros[steps - 1], (runtime.totalMemory() - runtime.freeMemory()) / 1e6);
+  }
+
+  private static String entry(int i, String state) {
+    return "{\"id\":\"s-" + Integer.toHexString(i * 0x9E3779B9) + "\",\"addr\":\"10." + (i >> 16) + "."
+        + (i >> 8 & 255) + "." + (i & 255) + ":7070\",\"zone\":\"zone-" + i % ZONES
+        + "\",\"kind\":\"m2\",\"cell\":" + i / ZONES % CELLS + ",\"state\":\"" + state
+        + "\",\"weight\":1.0,\"started_ms\":0}";
+  }
+
+  private interface Step {
+    void run() throws IOException;
+  }
+
+  private void read(StringBuilder text) throws IOException {
+    byte[] bytes = text.toString().getBytes(US_ASCII);
+    text.setLength(0);
+    step(() -> reader.read(bytes));
+  }
+
+  private void step(Step step) throws IOException {
+    long begunOwn = THREADS.getCurrentThreadCpuTime();
+    long begun = System.nanoTime();
+    step.run();
+    micros[steps] = (System.nanoTime() - begun) / 1e3;
+    ownMicros[steps] = (THREADS.getCurrentThreadCpuTime() - begunOwn) / 1e3;
+    steps++;
+  }
+}
--- /dev/null
+++ b/src/test/java/willowdoor/net/RosterReaderTest.java
@@ -0,0 +1,109 @@
+package willowdoor.net;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import willowdoor.GatewayApi.BackendEntry;
+import willowdoor.GatewayApi.Phase;
+import willowdoor.GatewayApi.RosterForm;
+
+/** The messages of a watch, in bytes that come in pieces of any length. */
+class RosterReaderTest {
+
+  private static final String FIRST = """
+      {"version":41,"full":true,"more":{"servers":[{"id":"x"}]},"servers":[
+        {"id":"s-1","addr":"10.1.0.18:7070","zone":"a","kind":"m2","cell":3,"state":"active","weight":1.5,
+         "started_ms":1760000000000,"tags":["b",{"id":"s-7"}]}, 7, ["id","s-8"],
+        {"id":"s-2","addr":"10.1.0.19:70","zone":"zé","cell":4,"state":"leaving","weight":1,"started_ms":0},
+        {"addr":"10.1.0.18:7070","state":"active"}, {"id":"s-3","addr":"nowhere","state":"active"},
+        {"id":"s-4","state":"left"}]}
+      """;
+  private static final String SECOND = """
+      {"servers":[{"id":"s-2","state":"left","weight":"much"}],
+       "full":false,"version":43}
+      """;
+
+  private final List<RosterNews> heard = new ArrayList<>();
+  private final RosterReader reader = new RosterReader(5, heard::add);
+
+  private void read(String text, int pieces) throws IOException {
+    byte[] bytes = text.getBytes(UTF_8);
+    for (int at = 0; at < bytes.length; at += pieces) {
+      reader.read(Arrays.copyOfRange(bytes, at, Math.min(bytes.length, at + pieces)));
+    }
+  }
+
+  private List<BackendEntry> entries() {
+    return heard.stream().flatMap(news -> news.entries().stream()).toList();
+  }
+
+  private List<RosterNews> ends() {
+    return heard.stream().filter(news -> news.form() != RosterForm.PART).toList();
+  }
+
+  @Test
+  void readsTheSameWhereverTheBytesAreCut() throws IOException {
+    read(FIRST + "\n\n" + SECOND, Integer.MAX_VALUE);
+    assertEquals(2, heard.size());
+    List<BackendEntry> whole = entries();
+    assertEquals(4, whole.size());
+    long place = Place.of(new InetSocketAddress("10.1.0.18", 7070));
+    assertEquals(new BackendEntry(whole.get(0).id(), "a", 3, Phase.SERVING, 1.5, 1760000000000.0, place),
+        whole.get(0));
+    assertEquals("zé", whole.get(1).zone());
+    assertEquals(List.of(Phase.SERVING, Phase.DRAINING, Phase.REMOVED, Phase.REMOVED),
+        whole.stream().map(BackendEntry::phase).toList());
+    assertEquals(whole.get(1).id(), whole.get(3).id());
+    for (int pieces = 1; pieces < 200; pieces++) {
+      heard.clear();
+      read(FIRST + "\n\n" + SECOND, pieces);
+      assertEquals(whole, entries());
+      assertEquals(List.of(41L, 43L), ends().stream().map(RosterNews::version).toList());
+      assertEquals(List.of(true, false), ends().stream().map(RosterNews::full).toList());
+      assertTrue(heard.stream().allMatch(news -> news.form() != RosterForm.PART || news.version() == 0));
+      assertFalse(reader.holdsPart());
+    }
+  }
+
+  /** A drain must not wait for the rest of a long list, which may never come. */
+  @Test
+  void whatWasReadIsToldAtOnceAndACutListIsNoWholeOne() throws IOException {
+    read(FIRST.substring(0, FIRST.indexOf("{\"addr\"")), Integer.MAX_VALUE);
+    assertEquals(2, entries().size());
+    assertTrue(reader.holdsPart());
+    reader.end();
+    reader.end();
+    assertEquals(List.of(RosterForm.PART, RosterForm.CHANGES), heard.stream().map(RosterNews::form).toList());
+    assertEquals(0, heard.get(1).version());
+    assertEquals(2, entries().size());
+  }
+
+  @Test
+  void whatIsNoListCannotBeTaken() {
+    for (String junk : new String[] {"[]", "7 ", "{\"version\":4}", "{\"servers\":{}}", "{\"servers\":[}",
+        "{\"version\":4,\"servers\":7}", "<html>"}) {
+      RosterReader other = new RosterReader(5, heard::add);
+      assertThrows(IOException.class, () -> other.read(junk.getBytes(UTF_8)), junk);
+    }
+    assertEquals(List.of(), heard);
+  }
+
+  /** Of lists too long for the memory that there is, what fits is not taken for the whole. */
+  @Test
+  void aListBeyondTheLimitCannotBeTaken() {
+    String entry = "{\"id\":\"s\",\"state\":\"leaving\"}";
+    String list = "{\"version\":4,\"full\":true,\"servers\":[" + (entry + ",").repeat(5) + entry + "]}";
+    String message = assertThrows(IOException.class, () -> read(list, 40)).getMessage();
+    assertTrue(message.contains("more than 5"), message);
+    assertEquals(List.of(), ends());
+  }
+}
