--- a/src/test/java/willowdoor/net/BackendPoolTest.java
+++ b/src/test/java/willowdoor/net/BackendPoolTest.java
@@ -23,6 +23,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.ArrayList;
@@ -181,8 +182,9 @@
           .option(ChannelOption.SO_SNDBUF, FEW_BYTES);
       Dialer fewBytes = (address, handler) -> bootstrap.clone().handler(handler).connect(address);
       loop.submit(() -> {
-        BackendPool pool = new BackendPool(loop, new Clock(), fewBytes, 10_000, new Places(100));
-        pool.onRoster(news(server.getLocalPort()));
+        BackendPool pool = new BackendPool(loop, new Clock(), fewBytes, 10_000, new Places(100),
+            new Listed(server.getLocalPort()));
+        pool.onRoster(news());
         DefaultHttpRequest head = new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/buy/1");
         head.headers().set("Content-Length", size);
         pool.start(1, attempt(head, Body.of(Unpooled.wrappedBuffer(new byte[size])), 20_000), 200);
@@ -248,8 +250,8 @@
     BackendPool pool = new BackendPool(new EmbeddedChannel().eventLoop(), new Clock(), (address, handler) -> {
       dialledAddresses.add(address);
       return dialled.newFailedFuture(new ChannelException("too many open files"));
-    }, 10_000, new Places(1));
-    pool.onRoster(news(1));
+    }, 10_000, new Places(1), new Listed(1));
+    pool.onRoster(news());
     pool.start(1, attempt(5_000), FOREVER);
     pool.start(1, attempt(5_000), FOREVER);
     assertEquals(List.of(Status.NOT_SENT, Status.NOT_SENT), List.copyOf(ends));
--- a/src/test/java/willowdoor/net/DiscoveryFailuresTest.java
+++ b/src/test/java/willowdoor/net/DiscoveryFailuresTest.java
@@ -123,7 +123,7 @@
           : fails && failure == Failure.NEVER_UP ? (InetSocketAddress) full.getLocalSocketAddress()
           : address, handler);
     };
-    loop.execute(() -> new DiscoveryClient(loop, new Clock(), dialer, agent, 7, news ->
+    loop.execute(() -> new DiscoveryClient(loop, new Clock(), dialer, agent, 7, 1_000, news ->
         told.complete(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - silentSince.get()))).start());
     return told;
   }
