Tell a list of discovery once it is whole, and a long one in pieces

Cause: entries were told as their bytes came, so that the part of a list before junk, or before its connection broke, was in force: a spoilt list has to change nothing. Change: RosterReader holds the entries of a message, not its text, until it is whole; RosterFeed hands them on 128 at a time, each piece in a turn of the event loop of its own. A list's bound by memory counts what is held meanwhile (Bounds). Lines at fault: RosterReader.read and end.

--- a/src/main/java/willowdoor/net/Bounds.java
+++ b/src/main/java/willowdoor/net/Bounds.java
@@ -21,10 +21,10 @@
   private static final double PASSING_PART = 1.0 / 8;
   private static final int PASSING_BYTES = 64 * 1024;
 
-  /** For what discovery tells of backends; each takes so much in the index, and little is left unused. */
+  /** For what discovery tells of backends; each takes so much in the index, and as much until it is there. */
   private static final double BACKENDS_PART = 1.0 / 6;
-  private static final double HEAP_PART = 1.0 / 2;
-  private static final int BACKEND_BYTES = 80;
+  private static final double HEAP_PART = 2.0 / 3;
+  private static final int BACKEND_BYTES = 150;
 
   private static int backends(double memoryMb, double heapBytes) {
     return (int) (Math.min(memoryMb * (1 << 20) * BACKENDS_PART, heapBytes * HEAP_PART) / BACKEND_BYTES);
--- a/src/main/java/willowdoor/net/DiscoveryClient.java
+++ b/src/main/java/willowdoor/net/DiscoveryClient.java
@@ -56,7 +56,7 @@
 
   private final EventLoop loop;
   private final Clock clock;
-  private final Consumer<RosterNews> listener;
+  private final RosterFeed feed;
   private final Dialer dialer;
   private final int mostBackends;
   private long version;
@@ -73,7 +73,7 @@
     this.dialer = dialer;
     this.version = version;
     this.mostBackends = mostBackends;
-    this.listener = listener;
+    feed = new RosterFeed(loop, listener);
     watch = new Watch(agent);
   }
 
@@ -105,8 +105,6 @@
 
   private void leave() {
     if (before != null) {
-      // First, as a new list may be told from now on.
-      before.reader.end();
       before.close();
       before = null;
     }
@@ -222,7 +220,7 @@
         LOG.info("the list of backends is taken again, version " + version);
       }
     }
-    listener.accept(news);
+    feed.take(news);
   }
 
   /** Hands the bytes of one watch to its reader. */
@@ -261,13 +259,6 @@
       }
     }
 
-    @Override
-    public void channelInactive(ChannelHandlerContext ctx) {
-      if (source == watch || source == before) {
-        source.reader.end();
-      }
-    }
-
     /** Junk or a broken connection: a new watch from the last good version makes up for it. */
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
--- a/src/main/java/willowdoor/net/RosterReader.java
+++ b/src/main/java/willowdoor/net/RosterReader.java
@@ -10,12 +10,11 @@
 import java.util.List;
 import java.util.function.Consumer;
 import willowdoor.GatewayApi.BackendEntry;
-import willowdoor.GatewayApi.RosterForm;
 
 /**
- * Reads the messages of a watch as their bytes come, entry by entry, and hands on what has been read at the
- * end of each piece of bytes: a drain is known before the list that tells it is whole, and no list is held in
- * memory. Only the end of a message shows its version, and whether it is the whole list.
+ * Reads the messages of a watch as their bytes come, entry by entry, and hands each on once it is whole: one
+ * that is cut or spoilt changes nothing. Until then its entries are held, not its text. Only the end of a
+ * message shows its version, and whether it is the whole list.
  */
 final class RosterReader {
 
@@ -39,7 +38,6 @@
   private boolean inList;
   private int backends;
   private List<BackendEntry> entries = new ArrayList<>();
-  private boolean partTold;
   /** The entry that is being read, or null. */
   private RosterEntry entry;
 
@@ -63,10 +61,6 @@
       take(token);
       token = parser.nextToken();
     }
-    if (!entries.isEmpty()) {
-      partTold = true;
-      tell(RosterForm.PART);
-    }
   }
 
   /** Whether part of a message has come whose rest has not. */
@@ -74,16 +68,6 @@
     return depth > 0;
   }
 
-  /** No more bytes come: what was told of a message that is not whole are changes and no more. */
-  void end() {
-    if (partTold) {
-      partTold = false;
-      version = 0;
-      entries.clear();
-      tell(RosterForm.CHANGES);
-    }
-  }
-
   private void take(JsonToken token) throws IOException {
     if (token.isStructStart()) {
       begin(token);
@@ -138,8 +122,9 @@
       // Guards against a full list that names nothing because it is junk: the last list would be gone.
       throw new IOException("a message without a list");
     } else if (depth == 0) {
-      partTold = false;
-      tell(full ? RosterForm.COMPLETE : RosterForm.CHANGES);
+      List<BackendEntry> told = entries;
+      entries = new ArrayList<>();
+      listener.accept(new RosterNews(version, full, told));
     }
   }
 
@@ -153,10 +138,4 @@
       entries.add(read);
     }
   }
-
-  private void tell(RosterForm form) {
-    List<BackendEntry> told = entries;
-    entries = new ArrayList<>();
-    listener.accept(new RosterNews(form == RosterForm.PART ? 0 : version, form, told));
-  }
 }
