Look through the index on a reload only where its settings ask for that

QuotaPolicy.onSettings counted anew which backends are starting on each new configuration, which costs the whole list (since the index of backends). That is needed only where ColdMs changed, as the order by rank is made anew only where the gateway's own number did. Both still hold the loop for as long as the list asks for, where they do change; neither was measured.

--- a/src/main/java/willowdoor/QuotaPolicy.java
+++ b/src/main/java/willowdoor/QuotaPolicy.java
@@ -170,11 +170,13 @@
 
   /** Takes new settings; counts, health and open requests live on. */
   private void onSettings(Settings changed) {
-    settings = changed;
     if (changed.self() != index.gateway()) {
       index.rankFor(changed.self());
     }
-    index.recountStarting(changed.rules().coldMs(), now);
+    if (changed.rules().coldMs() != settings.rules().coldMs()) {
+      index.recountStarting(changed.rules().coldMs(), now);
+    }
+    settings = changed;
     plans.clear();
     settings.plans().forEach(p -> plans.put(p.name(), p));
     for (Account a : accounts.values()) {
