--- /dev/null
+++ b/src/test/java/willowdoor/scale/BackendSweep.java
@@ -0,0 +1,132 @@
+package willowdoor.scale;
+
+import java.io.IOException;
+import java.io.Writer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import willowdoor.GatewayApi.BackendEntry;
+import willowdoor.GatewayApi.Phase;
+import willowdoor.GatewayApi.Roster;
+import willowdoor.GatewayApi.RosterForm;
+import willowdoor.QuotaPolicy;
+import willowdoor.net.WireFormats;
+
+/** What the decision module pays for the length of its list: for a change, a lost zone, and to hold it. */
+final class BackendSweep implements Sweep {
+
+  /** Front doors of the target, by which the module sizes its subset. */
+  private static final int GATEWAYS = 2_000;
+  private static final int MOST_CHANGES = 300;
+  private static final int MOST_ZONES = 9;
+  private static final int MOST_REQUESTS = 20_000;
+  /** Backends held together when their heap is measured: enough that nothing else matters. */
+  private static final int LEAST_HELD = 100_000;
+  /** Entries of one message: less than the reader takes at once. */
+  private static final int MESSAGE = 5_000;
+
+  @Override
+  public String name() {
+    return "backends";
+  }
+
+  @Override
+  public void run(Plan plan, Report report) throws IOException {
+    report.budget("change_ms", 0.05);
+    report.budget("zone_hold_ms", 2);
+    report.budget("heap_bytes_each", 64);
+    measure(plan.subject(this, "warm-up"), 1_000, plan, new Report(Writer.nullWriter(), System.out));
+    for (int size : plan.sizes(new int[] {1_000, 3_000}, new int[] {1_000, 3_000, 10_000, 30_000, 100_000,
+        200_000})) {
+      measure(plan.subject(this, "backends"), size, plan, report);
+    }
+    report.print(name());
+  }
+
+  private void measure(Measurement.Subject subject, int size, Plan plan, Report report) throws IOException {
+    RosterModel model = new RosterModel(size, 7070, plan.seed());
+    QuotaPolicy[] copies = new QuotaPolicy[Math.max(1, LEAST_HELD / size)];
+    double[] firstMs = new double[copies.length];
+    long before = Stopwatch.liveHeap();
+    for (int i = 0; i < copies.length; i++) {
+      copies[i] = new QuotaPolicy(ScaleSettings.of(GATEWAYS, i), plan.seed());
+      copies[i].start(0);
+      firstMs[i] = fill(copies[i], model);
+    }
+    double heapEach = (Stopwatch.liveHeap() - before) / (double) copies.length / size;
+    report.add(Measurement.of(subject, size, "first_list_ms", firstMs));
+    report.add(Measurement.of(subject, size, "heap_bytes_each", heapEach));
+    QuotaPolicy policy = copies[0];
+    copies = null;
+    double third = plan.secondsEach() / 3;
+    report.add(Measurement.of(subject, size, "change_ms", changes(policy, model, third)));
+    report.add(Measurement.of(subject, size, "zone_hold_ms", zones(policy, model, third)));
+    report.add(Measurement.of(subject, size, "request_us", requests(policy, third)));
+  }
+
+  /** Reads the list in messages and hands it on; gives the processor time of both. */
+  private static double fill(QuotaPolicy policy, RosterModel model) throws IOException {
+    double spent = 0;
+    List<RosterModel.Change> all = model.converters().stream()
+        .map(c -> new RosterModel.Change(c, Phase.SERVING)).toList();
+    List<BackendEntry> entries = new ArrayList<>();
+    for (int from = 0; from < all.size(); from += MESSAGE) {
+      List<RosterModel.Change> part = all.subList(from, Math.min(all.size(), from + MESSAGE));
+      byte[] message = model.changeMessage(part).getBytes(StandardCharsets.UTF_8);
+      double cpu = Stopwatch.cpuMs();
+      entries.addAll(WireFormats.roster(message).entries());
+      spent += Stopwatch.cpuMs() - cpu;
+    }
+    double cpu = Stopwatch.cpuMs();
+    policy.on(1, new Roster(RosterForm.REMEMBERED, entries));
+    return spent + Stopwatch.cpuMs() - cpu;
+  }
+
+  private double[] changes(QuotaPolicy policy, RosterModel model, double seconds) throws IOException {
+    List<Roster> news = new ArrayList<>();
+    for (int i = 0; i < MOST_CHANGES / 3; i++) {
+      for (RosterModel.Change change : model.replaceOne(1 + i)) {
+        news.add(roster(model, List.of(change)));
+      }
+    }
+    int[] next = new int[1];
+    return Stopwatch.repeat(news.size(), seconds, () -> policy.on(2, news.get(next[0]++)));
+  }
+
+  private static Roster roster(RosterModel model, List<RosterModel.Change> changes) throws IOException {
+    List<BackendEntry> entries = new ArrayList<>();
+    for (int from = 0; from < changes.size(); from += MESSAGE) {
+      List<RosterModel.Change> part = changes.subList(from, Math.min(changes.size(), from + MESSAGE));
+      String message = model.changeMessage(part);
+      entries.addAll(WireFormats.roster(message.getBytes(StandardCharsets.UTF_8)).entries());
+    }
+    return new Roster(RosterForm.CHANGES, entries);
+  }
+
+  /** Zones go one after the other, each coming back before the next; the time of one event each. */
+  private static double[] zones(QuotaPolicy policy, RosterModel model, double seconds) throws IOException {
+    double until = Stopwatch.wallMs() + 1000 * seconds;
+    double[] times = new double[MOST_ZONES];
+    int done = 0;
+    do {
+      Roster gone = roster(model, model.zone(done, Phase.REMOVED));
+      Roster back = roster(model, model.zone(done, Phase.SERVING));
+      times[done++] = Stopwatch.repeat(1, 0, () -> policy.on(3, gone))[0];
+      policy.on(4, back);
+    } while (done < MOST_ZONES && Stopwatch.wallMs() < until);
+    return Arrays.copyOf(times, done);
+  }
+
+  /** Whole requests of one customer: its call, the answer to it, its attempt, and the end of that. */
+  private static double[] requests(QuotaPolicy policy, double seconds) {
+    RequestCycle cycle = new RequestCycle(policy, 1_000);
+    int batch = MOST_REQUESTS / 40;
+    double[] times = Stopwatch.repeat(40, seconds, () -> {
+      for (int i = 0; i < batch; i++) {
+        cycle.serve(7, 1);
+      }
+    });
+    return Arrays.stream(times).map(ms -> ms * 1000 / batch).toArray();
+  }
+}
--- /dev/null
+++ b/src/test/java/willowdoor/scale/OtherVersion.java
@@ -0,0 +1,59 @@
+package willowdoor.scale;
+
+import java.io.File;
+import java.io.IOException;
+import java.lang.management.ManagementFactory;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.stream.Collectors;
+import willowdoor.QuotaPolicy;
+
+/** Another built working copy: the same sweep, in a process of its own with that copy's classes in front. */
+final class OtherVersion {
+
+  private final Path copy;
+
+  OtherVersion(Path copy) {
+    this.copy = copy;
+  }
+
+  /** Where this process has the program's classes from. */
+  static String programClasses() {
+    return QuotaPolicy.class.getProtectionDomain().getCodeSource().getLocation().getPath();
+  }
+
+  /**
+   * Runs one sweep and waits for its end.
+   *
+   * @throws IOException if the copy is not built or its run fails
+   */
+  void run(Sweep sweep, List<String> arguments) throws IOException, InterruptedException {
+    Path classes = copy.resolve("target/classes");
+    if (!Files.isDirectory(classes)) {
+      throw new IOException(copy + " is not built: no target/classes");
+    }
+    List<String> command = new ArrayList<>();
+    command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+    command.addAll(ManagementFactory.getRuntimeMXBean().getInputArguments());
+    command.add("-cp");
+    command.add(classes + File.pathSeparator + copy.resolve("target/test-classes") + File.pathSeparator
+        + remainingClassPath());
+    command.add(ScaleCommand.class.getName());
+    command.addAll(arguments);
+    command.add(sweep.name());
+    int code = new ProcessBuilder(command).inheritIO().start().waitFor();
+    if (code != 0) {
+      throw new IOException(sweep.name() + " of " + copy + " ended with " + code);
+    }
+  }
+
+  private static String remainingClassPath() {
+    Path own = Path.of(programClasses()).toAbsolutePath().normalize();
+    return Arrays.stream(System.getProperty("java.class.path").split(File.pathSeparator))
+        .filter(p -> !Path.of(p).toAbsolutePath().normalize().equals(own))
+        .collect(Collectors.joining(File.pathSeparator));
+  }
+}
--- /dev/null
+++ b/src/test/java/willowdoor/scale/RosterModel.java
@@ -0,0 +1,129 @@
+package willowdoor.scale;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import willowdoor.GatewayApi.BackendEntry;
+import willowdoor.GatewayApi.Phase;
+
+/** The list of converters as discovery holds it, and the ways in which it changes. */
+final class RosterModel {
+
+  /** Zones of the target; converters are spread over them evenly. */
+  static final int ZONES = 19;
+  private static final int CELL_SIZE = 20;
+
+  private final SplittableRandom random;
+  private final List<Converter> converters = new ArrayList<>();
+  private final int port;
+  private long version = 1;
+  private int named;
+
+  /** One converter of the list; a restarted or replaced one is another record. */
+  record Converter(String name, int number, int zone, long startedMs) {
+    String zoneName() {
+      return "z" + zone;
+    }
+
+    /** The number by which the module knows it; here its place, which spreads like any other number. */
+    long id() {
+      return number * 0x9E3779B97F4A7C15L >>> 1;
+    }
+
+    int cell() {
+      return number / CELL_SIZE;
+    }
+  }
+
+  /** A list of that size; all converters listen at the port, each on an address of its own. */
+  RosterModel(int size, int port, long seed) {
+    this.random = new SplittableRandom(seed);
+    this.port = port;
+    for (int i = 0; i < size; i++) {
+      converters.add(next(0));
+    }
+  }
+
+  private Converter next(long startedMs) {
+    int number = named++;
+    return new Converter(String.format("s-%08x", number * 0x9E3779B1), number, number % ZONES, startedMs);
+  }
+
+  List<Converter> converters() {
+    return List.copyOf(converters);
+  }
+
+  int size() {
+    return converters.size();
+  }
+
+  long version() {
+    return version;
+  }
+
+  /** One change of an entry, in the order in which discovery tells them. */
+  record Change(Converter converter, Phase phase) { }
+
+  /** One converter drains, leaves, and another takes its place in its zone: three changes. */
+  List<Change> replaceOne(long nowMs) {
+    int place = random.nextInt(converters.size());
+    Converter old = converters.get(place);
+    int number = named++;
+    Converter replacement = new Converter(String.format("s-%08x", number * 0x9E3779B1), number, old.zone(),
+        nowMs);
+    converters.set(place, replacement);
+    return List.of(new Change(old, Phase.DRAINING), new Change(old, Phase.REMOVED),
+        new Change(replacement, Phase.SERVING));
+  }
+
+  /** All entries of a zone, as they are when it goes or returns; the list itself keeps them. */
+  List<Change> zone(int zone, Phase phase) {
+    return converters.stream().filter(c -> c.zone() == zone).map(c -> new Change(c, phase)).toList();
+  }
+
+  static BackendEntry entry(Change change) {
+    Converter c = change.converter();
+    return new BackendEntry(c.id(), c.zoneName(), c.cell(), change.phase(), 1, c.startedMs());
+  }
+
+  List<BackendEntry> entries() {
+    return converters.stream().map(c -> entry(new Change(c, Phase.SERVING))).toList();
+  }
+
+  /** The whole list as one message. */
+  String wholeMessage() {
+    return message(true, converters.stream().map(c -> new Change(c, Phase.SERVING)).toList());
+  }
+
+  /** Changes as the next message. */
+  String changeMessage(List<Change> changes) {
+    version++;
+    return message(false, changes);
+  }
+
+  private String message(boolean full, List<Change> changes) {
+    StringBuilder text = new StringBuilder(64 + 160 * changes.size());
+    text.append("{\"version\":").append(version).append(",\"full\":").append(full).append(",\"servers\":[");
+    String separator = "";
+    for (Change change : changes) {
+      text.append(separator);
+      append(text, change);
+      separator = ",";
+    }
+    return text.append("]}\n").toString();
+  }
+
+  private void append(StringBuilder text, Change change) {
+    Converter c = change.converter();
+    String state = switch (change.phase()) {
+      case SERVING -> "active";
+      case DRAINING -> "leaving";
+      case REMOVED -> "left";
+    };
+    text.append("{\"id\":\"").append(c.name()).append("\",\"addr\":\"127.").append(c.number() >> 16 & 255)
+        .append('.').append(c.number() >> 8 & 255).append('.').append(1 + c.number() % 254).append(':')
+        .append(port).append("\",\"zone\":\"").append(c.zoneName()).append("\",\"kind\":\"m2\",\"cell\":")
+        .append(c.cell()).append(",\"state\":\"").append(state)
+        .append("\",\"weight\":1.0,\"started_ms\":").append(c.startedMs()).append('}');
+  }
+}
