--- a/src/test/java/willowdoor/scale/BackendSweep.java
+++ b/src/test/java/willowdoor/scale/BackendSweep.java
@@ -21,6 +21,7 @@
   private static final int MOST_CHANGES = 300;
   private static final int MOST_ZONES = 9;
   private static final int MOST_REQUESTS = 20_000;
+  private static final int CUSTOMERS = 500;
   /** Backends held together when their heap is measured: enough that nothing else matters. */
   private static final int LEAST_HELD = 100_000;
   /** Entries of one message: less than the reader takes at once. */
@@ -118,15 +119,18 @@
     return Arrays.copyOf(times, done);
   }
 
-  /** Whole requests of one customer: its call, the answer to it, its attempt, and the end of that. */
+  /** Whole requests: the call to the counter, the answer to it, the attempt, and the end of that. */
   private static double[] requests(QuotaPolicy policy, double seconds) {
-    RequestCycle cycle = new RequestCycle(policy, 1_000);
+    RequestCycle cycle = new RequestCycle(policy, 1_000, CUSTOMERS);
     int batch = MOST_REQUESTS / 40;
     double[] times = Stopwatch.repeat(40, seconds, () -> {
       for (int i = 0; i < batch; i++) {
-        cycle.serve(7, 1);
+        cycle.serve(i % CUSTOMERS, 1);
       }
     });
+    if (cycle.refused() > cycle.served() / 10) {
+      throw new IllegalStateException(cycle.refused() + " refused, " + cycle.served() + " served");
+    }
     return Arrays.stream(times).map(ms -> ms * 1000 / batch).toArray();
   }
 }
--- /dev/null
+++ b/src/test/java/willowdoor/scale/CounterCall.java
@@ -0,0 +1,64 @@
+package willowdoor.scale;
+
+import willowdoor.GatewayApi.Add;
+import willowdoor.GatewayApi.Counted;
+import willowdoor.GatewayApi.Status;
+
+/** One call of a hollow front door on its way to its shard and back; it ends once, at its limit at the latest. */
+final class CounterCall implements CounterShard.Answer {
+
+  private static final double ONE_WAY_MS = 0.25;
+
+  private final HollowFleet fleet;
+  private final HollowDoor door;
+  private final Add add;
+  private final double begunMs;
+  private boolean done;
+
+  CounterCall(HollowFleet fleet, HollowDoor door, Add add) {
+    this.fleet = fleet;
+    this.door = door;
+    this.add = add;
+    begunMs = fleet.now();
+  }
+
+  void write(String line) {
+    FleetFigures figures = fleet.figures(HollowFleet.customer(add.name()));
+    figures.counterCalls++;
+    figures.counterBytes += line.length();
+    String call = line.stripTrailing();
+    fleet.time().at(begunMs + ScaleSettings.COUNT_LIMIT_MS, () -> end(Status.TIMED_OUT, 0));
+    if (fleet.reachesShard(door, add.name())) {
+      fleet.time().after(ONE_WAY_MS, () -> fleet.shards().of(add.name()).call(call, this));
+    }
+  }
+
+  @Override
+  public void line(String text) {
+    fleet.time().after(ONE_WAY_MS, () -> {
+      fleet.figures(HollowFleet.customer(add.name())).counterBytes += done ? 0 : text.length() + 2;
+      if (text.startsWith("ok ")) {
+        end(Status.OK, Double.parseDouble(text.substring(3)));
+      } else {
+        end(Status.REJECTED, 0);
+      }
+    });
+  }
+
+  @Override
+  public void refused() {
+    end(Status.UNREACHABLE, 0);
+  }
+
+  @Override
+  public void cut() {
+    end(Status.RESET, 0);
+  }
+
+  private void end(Status status, double total) {
+    if (!done) {
+      done = true;
+      door.counted(new Counted(add.name(), status, total, fleet.now() - begunMs));
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/willowdoor/scale/FleetOptions.java
@@ -0,0 +1,33 @@
+package willowdoor.scale;
+
+/**
+ * A fleet of hollow front doors and its load.
+ *
+ * @param doors front doors
+ * @param spread through how many of them a customer's requests come
+ * @param customers customers, of which some ask far more than their quota
+ * @param converters converters, all in one list
+ * @param shards shards of the counter
+ * @param shardCallMs time of one call at a shard
+ * @param requestsPerSecond of all customers together
+ * @param seed of all random numbers
+ */
+record FleetOptions(int doors, int spread, int customers, int converters, int shards, double shardCallMs,
+    double requestsPerSecond, long seed) {
+
+  /** Requests a second of one customer on the mean, near the target's 1.5 million for 990,000. */
+  private static final double REQUESTS_EACH = 0.8;
+  /** A converter's share of work: well under what it takes. */
+  private static final double REQUESTS_PER_CONVERTER = 15;
+  private static final double SHARD_CALL_MS = 0.05;
+
+  /** A fleet for that load, with the counter whole and quick. */
+  static FleetOptions of(int doors, int spread, double requestsPerSecond, long seed) {
+    return new FleetOptions(doors, Math.min(spread, doors), (int) (requestsPerSecond / REQUESTS_EACH),
+        (int) Math.ceil(requestsPerSecond / REQUESTS_PER_CONVERTER), 1, SHARD_CALL_MS, requestsPerSecond, seed);
+  }
+
+  FleetOptions withShards(int number, double callMs) {
+    return new FleetOptions(doors, spread, customers, converters, number, callMs, requestsPerSecond, seed);
+  }
+}
--- /dev/null
+++ b/src/test/java/willowdoor/scale/HollowFleet.java
@@ -0,0 +1,216 @@
+package willowdoor.scale;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.function.IntPredicate;
+import willowdoor.GatewayApi.BackendEntry;
+
+/** Hollow front doors with their load and all that they speak to, in one process on virtual time. */
+final class HollowFleet {
+
+  private static final double START_MS = 1_000_000;
+  /** Spread of the customers' demands, as the deviation of its logarithm: some ask ten times the median. */
+  private static final double DEMAND_SPREAD = 1;
+  private static final double SERVICE_MS = 30;
+
+  private final FleetOptions options;
+  private final VirtualTime time = new VirtualTime(START_MS);
+  private final SplittableRandom random;
+  private final List<HollowDoor> doors = new ArrayList<>();
+  private final Map<Long, ConverterModel> converters = new HashMap<>();
+  private final RosterModel roster;
+  private final DiscoveryModel discovery;
+  private final CounterShards shards;
+  private final QuotaLedger ledger;
+  private final QuotaLedger granting;
+  private final double[] demand;
+  private FleetFigures figures = new FleetFigures();
+  private FleetFigures affectedFigures = new FleetFigures();
+  private IntPredicate affected = customer -> false;
+  private Reachability network = (door, region) -> true;
+  private int regions = 1;
+  private int requests;
+
+  /** Whether a front door reaches what lies in a region. */
+  interface Reachability {
+    boolean reaches(HollowDoor door, int region);
+  }
+
+  HollowFleet(FleetOptions options) {
+    this.options = options;
+    random = new SplittableRandom(options.seed());
+    roster = new RosterModel(options.converters(), 7070, options.seed());
+    discovery = new DiscoveryModel(this, roster, random.split());
+    shards = new CounterShards(options.shards(), time, options.shardCallMs(), ScaleSettings.COUNT_LIMIT_MS);
+    ledger = new QuotaLedger(options.customers(), ScaleSettings.PLAN.rate(), ScaleSettings.PLAN.burst(),
+        START_MS);
+    granting = new QuotaLedger(options.customers(), ScaleSettings.PLAN.rate(), ScaleSettings.PLAN.burst(),
+        START_MS);
+    demand = demand();
+    roster.converters().forEach(c -> converters.put(c.id(), newConverter(0)));
+    List<BackendEntry> known = roster.entries();
+    for (int i = 0; i < options.doors(); i++) {
+      HollowDoor door = new HollowDoor(this, i, random.nextLong());
+      doors.add(door);
+      door.start(known);
+    }
+    scheduleNext();
+  }
+
+  /** Sums of the customers' shares of all requests, for drawing one of them. */
+  private double[] demand() {
+    double[] sums = new double[options.customers()];
+    double sum = 0;
+    for (int i = 0; i < sums.length; i++) {
+      sum += Math.exp(DEMAND_SPREAD * random.nextGaussian());
+      sums[i] = sum;
+    }
+    return sums;
+  }
+
+  private void scheduleNext() {
+    double gap = -Math.log(1 - random.nextDouble()) * 1000 / options.requestsPerSecond();
+    time.after(gap, () -> {
+      arrive();
+      scheduleNext();
+    });
+  }
+
+  private void arrive() {
+    double drawn = random.nextDouble() * demand[demand.length - 1];
+    int place = Arrays.binarySearch(demand, drawn);
+    int customer = place < 0 ? -place - 1 : place;
+    double units = 1 + random.nextInt((int) ScaleSettings.MOST_UNITS);
+    FleetFigures seen = figures(customer);
+    seen.asked++;
+    seen.grantable += granting.take(customer, units, now()) ? 1 : 0;
+    HollowDoor door = door(customer, random.nextInt(options.spread()));
+    if (door.up()) {
+      door.request("r" + requests++, customer, units);
+    } else {
+      seen.failed++;
+    }
+  }
+
+  /** The n-th front door of a customer's set. */
+  private HollowDoor door(int customer, int n) {
+    int first = (int) Math.floorMod(customer * 0x9E3779B97F4A7C15L >>> 7, (long) doors.size());
+    return doors.get((first + n) % doors.size());
+  }
+
+  private ConverterModel newConverter(double startedMs) {
+    return new ConverterModel(SERVICE_MS, startedMs, random.split());
+  }
+
+  /** The customer whose count has that name. */
+  static int customer(String countName) {
+    return Integer.parseInt(countName.substring(0, countName.indexOf(':')), 36);
+  }
+
+  /** Lets that much virtual time pass, and gives what was seen of it: of the affected, and of all others. */
+  Span run(double ms) {
+    figures = new FleetFigures();
+    affectedFigures = new FleetFigures();
+    time.runUntil(now() + ms);
+    return new Span(figures, affectedFigures, ms / 1000);
+  }
+
+  /** Figures of a span of virtual time. */
+  record Span(FleetFigures others, FleetFigures affected, double seconds) { }
+
+  /** From now on the figures of these customers are kept apart. */
+  void watch(IntPredicate customers) {
+    affected = customers;
+  }
+
+  /** Counts' shards and converters lie in so many regions, in turn, and not all front doors reach them. */
+  void cut(int intoRegions, Reachability reachability) {
+    regions = intoRegions;
+    network = reachability;
+  }
+
+  /** The region of a customer's count: that of its shard. */
+  int shardRegion(String countName) {
+    return shards.number(countName) % regions;
+  }
+
+  boolean reachesShard(HollowDoor door, String countName) {
+    return network.reaches(door, shardRegion(countName));
+  }
+
+  /** A converter as that front door finds it; one in a region that it cannot reach is silent. */
+  ConverterModel converter(long id, int door) {
+    ConverterModel found = converters.get(id);
+    if (network.reaches(doors.get(door), (int) (id % regions))) {
+      return found;
+    }
+    ConverterModel silent = newConverter(0);
+    silent.fail(ConverterModel.Health.VANISHED, 0);
+    return silent;
+  }
+
+  /** One converter is replaced by another, as deployments do; discovery tells of it. */
+  void replaceOne() {
+    List<RosterModel.Change> changes = roster.replaceOne((long) now());
+    converters.put(changes.get(2).converter().id(), newConverter(now()));
+    discovery.tell(changes);
+  }
+
+  /** Front doors that restart come back with the list as it was told last, and nothing else. */
+  void restartDoor(int number) {
+    doors.get(number).kill();
+    doors.set(number, new HollowDoor(this, number, random.nextLong()));
+    doors.get(number).start(roster.entries());
+  }
+
+  /** Some converters fail, or heal where the health is UP. */
+  void failConverters(List<RosterModel.Converter> which, ConverterModel.Health how) {
+    for (RosterModel.Converter c : which) {
+      if (how == ConverterModel.Health.UP) {
+        converters.get(c.id()).heal();
+      } else {
+        converters.get(c.id()).fail(how, now());
+      }
+    }
+  }
+
+  FleetOptions options() {
+    return options;
+  }
+
+  VirtualTime time() {
+    return time;
+  }
+
+  double now() {
+    return time.now();
+  }
+
+  List<HollowDoor> doors() {
+    return doors;
+  }
+
+  RosterModel roster() {
+    return roster;
+  }
+
+  DiscoveryModel discovery() {
+    return discovery;
+  }
+
+  CounterShards shards() {
+    return shards;
+  }
+
+  QuotaLedger ledger() {
+    return ledger;
+  }
+
+  FleetFigures figures(int customer) {
+    return affected.test(customer) ? affectedFigures : figures;
+  }
+}
--- a/src/test/java/willowdoor/scale/RequestCycle.java
+++ b/src/test/java/willowdoor/scale/RequestCycle.java
@@ -9,24 +9,31 @@
 import willowdoor.GatewayApi.Request;
 import willowdoor.GatewayApi.Send;
 import willowdoor.GatewayApi.Status;
+import willowdoor.GatewayApi.WakeAt;
+import willowdoor.GatewayApi.Woken;
 import willowdoor.QuotaPolicy;
 
 /** Takes requests through one module at once: the counter grants each, and a converter answers it. */
 final class RequestCycle {
 
-  /** So far apart that the plan's refill covers a customer that comes every time. */
-  private static final double APART_MS = 0.01;
   private static final double COUNTER_MS = 1;
   private static final double CONVERTER_MS = 20;
 
   private final QuotaPolicy policy;
+  private final double apartMs;
   private double nowMs;
+  private double wakeAtMs;
   private long served;
   private long refused;
   private int number;
 
-  RequestCycle(QuotaPolicy policy, double nowMs) {
+  /**
+   * Requests that come so far apart, so that of customers drawn evenly each asks for one unit a second, which
+   * is half of what the plan gives.
+   */
+  RequestCycle(QuotaPolicy policy, double nowMs, int customers) {
     this.policy = policy;
+    apartMs = 1000.0 / customers;
     this.nowMs = nowMs;
   }
 
@@ -40,7 +47,10 @@
 
   /** One request of that customer, to its final answer. */
   void serve(long customer, double units) {
-    nowMs += APART_MS;
+    nowMs += apartMs;
+    if (nowMs >= wakeAtMs) {
+      policy.on(nowMs, new Woken("tick")).forEach(this::follow);
+    }
     String id = Integer.toString(number++, 36);
     List<Action> actions = policy.on(nowMs, new Request(id, ScaleSettings.CLASS, ScaleSettings.PLAN.name(),
         customer, 3, units, nowMs + ScaleSettings.CLASS.deadlineMs()));
@@ -58,6 +68,8 @@
           .forEach(this::follow);
     } else if (action instanceof Refuse) {
       refused++;
+    } else if (action instanceof WakeAt wake) {
+      wakeAtMs = wake.atMs();
     }
   }
 }
--- a/src/test/java/willowdoor/scale/RosterModel.java
+++ b/src/test/java/willowdoor/scale/RosterModel.java
@@ -1,10 +1,14 @@
 package willowdoor.scale;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
 import willowdoor.GatewayApi.BackendEntry;
 import willowdoor.GatewayApi.Phase;
+import willowdoor.net.WireFormats;
 
 /** The list of converters as discovery holds it, and the ways in which it changes. */
 final class RosterModel {
@@ -20,16 +24,11 @@
   private int named;
 
   /** One converter of the list; a restarted or replaced one is another record. */
-  record Converter(String name, int number, int zone, long startedMs) {
+  record Converter(String name, int number, int zone, long startedMs, long id) {
     String zoneName() {
       return "z" + zone;
     }
 
-    /** The number by which the module knows it; here its place, which spreads like any other number. */
-    long id() {
-      return number * 0x9E3779B97F4A7C15L >>> 1;
-    }
-
     int cell() {
       return number / CELL_SIZE;
     }
@@ -40,13 +39,25 @@
     this.random = new SplittableRandom(seed);
     this.port = port;
     for (int i = 0; i < size; i++) {
-      converters.add(next(0));
+      int number = named++;
+      converters.add(next(number, number % ZONES, 0));
     }
   }
 
-  private Converter next(long startedMs) {
-    int number = named++;
-    return new Converter(String.format("s-%08x", number * 0x9E3779B1), number, number % ZONES, startedMs);
+  private Converter next(int number, int zone, long startedMs) {
+    Converter unnumbered =
+        new Converter(String.format("s-%08x", number * 0x9E3779B1), number, zone, startedMs, 0);
+    return new Converter(unnumbered.name, number, zone, startedMs, readId(unnumbered));
+  }
+
+  /** The number that the program makes of the name, told by the program itself. */
+  private long readId(Converter converter) {
+    String text = message(false, List.of(new Change(converter, Phase.SERVING)));
+    try {
+      return WireFormats.roster(text.getBytes(StandardCharsets.UTF_8)).entries().get(0).id();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
   }
 
   List<Converter> converters() {
@@ -68,9 +79,7 @@
   List<Change> replaceOne(long nowMs) {
     int place = random.nextInt(converters.size());
     Converter old = converters.get(place);
-    int number = named++;
-    Converter replacement = new Converter(String.format("s-%08x", number * 0x9E3779B1), number, old.zone(),
-        nowMs);
+    Converter replacement = next(named++, old.zone(), nowMs);
     converters.set(place, replacement);
     return List.of(new Change(old, Phase.DRAINING), new Change(old, Phase.REMOVED),
         new Change(replacement, Phase.SERVING));
