--- a/src/test/java/willowdoor/scale/CounterCall.java
+++ b/src/test/java/willowdoor/scale/CounterCall.java
@@ -4,7 +4,7 @@
 import willowdoor.GatewayApi.Counted;
 import willowdoor.GatewayApi.Status;
 
-/** One call of a hollow front door on its way to its shard and back; it ends once, at its limit at the latest. */
+/** One call of a hollow front door, to its shard and back; it ends once, at its limit at the latest. */
 final class CounterCall implements CounterShard.Answer {
 
   private static final double ONE_WAY_MS = 0.25;
@@ -29,7 +29,7 @@
     String call = line.stripTrailing();
     fleet.time().at(begunMs + ScaleSettings.COUNT_LIMIT_MS, () -> end(Status.TIMED_OUT, 0));
     if (fleet.reachesShard(door, add.name())) {
-      fleet.time().after(ONE_WAY_MS, () -> fleet.shards().of(add.name()).call(call, this));
+      fleet.time().after(ONE_WAY_MS, () -> fleet.shard(add.name()).call(call, this));
     }
   }
 
--- a/src/test/java/willowdoor/scale/CounterShards.java
+++ b/src/test/java/willowdoor/scale/CounterShards.java
@@ -4,7 +4,7 @@
 import java.util.List;
 import java.util.stream.IntStream;
 
-/** The shards of the counter; a count lives on the shard that the hash of its customer names. */
+/** The shards of the counter. */
 final class CounterShards {
 
   private final List<CounterShard> shards;
@@ -14,18 +14,12 @@
   }
 
   /**
-   * The shard of a count. Its window, behind the colon, is no part of the hash, so that all of a customer's
-   * counts are together: when a shard is away, the same customers are held to the replica, and no others.
+   * One of so many by the hash of a customer. The window of a count is no part of it, so that all of a
+   * customer's counts are together: while a shard is away, the same customers go without, and no others.
    */
-  CounterShard of(String name) {
-    return shards.get(number(name));
-  }
-
-  int number(String name) {
-    int colon = name.indexOf(':');
-    String customer = colon < 0 ? name : name.substring(0, colon);
-    int hash = customer.hashCode() * 0x9E3779B1;
-    return (int) ((hash & 0xFFFFFFFFL) * shards.size() >>> 32);
+  static int spread(int customer, int among) {
+    int hash = customer * 0x9E3779B1;
+    return (int) ((hash & 0xFFFFFFFFL) * among >>> 32);
   }
 
   CounterShard get(int shard) {
--- /dev/null
+++ b/src/test/java/willowdoor/scale/DiscoveryAgent.java
@@ -0,0 +1,180 @@
+package willowdoor.scale;
+
+import java.io.BufferedReader;
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * A stand-in for discovery's agent on loopback, by the published protocol: each watch is told the whole list
+ * first, unless it has that version, and then each change. It may fall silent, cut a message, or end watches.
+ */
+final class DiscoveryAgent implements Closeable {
+
+  private static final int CHUNK = 64 * 1024;
+  private static final long HEARTBEAT_MS = 2_000;
+
+  private final ServerSocket server;
+  private final List<Watch> watches = new CopyOnWriteArrayList<>();
+  private final AtomicInteger opened = new AtomicInteger();
+  private final AtomicLong bytes = new AtomicLong();
+  private volatile byte[] whole;
+  private volatile long version;
+  private volatile boolean silent;
+
+  /** Listens at a port of its own with that whole list. */
+  DiscoveryAgent(String whole, long version) throws IOException {
+    become(whole, version);
+    server = new ServerSocket(0, 16, InetAddress.getLoopbackAddress());
+    thread(this::accept);
+    thread(this::beat);
+  }
+
+  int port() {
+    return server.getLocalPort();
+  }
+
+  /** Watches that were opened, all told. */
+  int opened() {
+    return opened.get();
+  }
+
+  /** Bytes of messages written, all told. */
+  long bytes() {
+    return bytes.get();
+  }
+
+  /** Replaces the list that later watches are told first. */
+  void become(String list, long ofVersion) {
+    whole = list.getBytes(StandardCharsets.UTF_8);
+    version = ofVersion;
+  }
+
+  /** Tells all watches one message. */
+  void tell(String message) {
+    byte[] told = message.getBytes(StandardCharsets.UTF_8);
+    watches.forEach(w -> w.write(told, told.length));
+  }
+
+  /** Tells the first bytes of a message and ends the watches. */
+  void cut(String message, int after) {
+    byte[] told = message.getBytes(StandardCharsets.UTF_8);
+    watches.forEach(w -> {
+      w.write(told, after);
+      w.close();
+    });
+  }
+
+  /** While silent, nothing is told, no heartbeat either, and new watches get no answer. */
+  void silence(boolean now) {
+    silent = now;
+  }
+
+  @Override
+  public void close() throws IOException {
+    server.close();
+    watches.forEach(Watch::close);
+  }
+
+  private static void thread(Runnable work) {
+    Thread thread = new Thread(work, "discovery agent");
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  private void accept() {
+    while (!server.isClosed()) {
+      try {
+        Socket socket = server.accept();
+        thread(() -> begin(socket));
+      } catch (IOException e) {
+        return;
+      }
+    }
+  }
+
+  /** Heartbeats, on a thread of its own for all watches. */
+  private void beat() {
+    byte[] empty = {'\n'};
+    while (!server.isClosed()) {
+      try {
+        Thread.sleep(HEARTBEAT_MS);
+      } catch (InterruptedException e) {
+        return;
+      }
+      watches.forEach(w -> w.write(empty, 1));
+    }
+  }
+
+  private void begin(Socket socket) {
+    try {
+      BufferedReader in =
+          new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+      String request = in.readLine();
+      opened.incrementAndGet();
+      if (request == null || silent) {
+        return;
+      }
+      Watch watch = new Watch(socket, socket.getOutputStream());
+      watch.head();
+      if (!request.contains("index=" + version + ' ')) {
+        watch.write(whole, whole.length);
+      }
+      watches.add(watch);
+    } catch (IOException e) {
+      // The front door has ended the watch.
+    }
+  }
+
+  /** One watch; it is dropped when its connection ends. */
+  private final class Watch {
+    private final Socket socket;
+    private final OutputStream out;
+
+    Watch(Socket socket, OutputStream out) {
+      this.socket = socket;
+      this.out = out;
+    }
+
+    void head() throws IOException {
+      out.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
+      out.flush();
+    }
+
+    synchronized void write(byte[] message, int length) {
+      if (silent) {
+        return;
+      }
+      try {
+        for (int from = 0; from < length; from += CHUNK) {
+          int part = Math.min(CHUNK, length - from);
+          out.write((Integer.toHexString(part) + "\r\n").getBytes(StandardCharsets.US_ASCII));
+          out.write(message, from, part);
+          out.write("\r\n".getBytes(StandardCharsets.US_ASCII));
+          bytes.addAndGet(part);
+        }
+        out.flush();
+      } catch (IOException e) {
+        close();
+      }
+    }
+
+    void close() {
+      watches.remove(this);
+      try {
+        socket.close();
+      } catch (IOException e) {
+        // It is gone either way.
+      }
+    }
+  }
+}
--- a/src/test/java/willowdoor/scale/FleetOptions.java
+++ b/src/test/java/willowdoor/scale/FleetOptions.java
@@ -9,11 +9,12 @@
  * @param converters converters, all in one list
  * @param shards shards of the counter
  * @param shardCallMs time of one call at a shard
+ * @param regions regions of front doors, converters and shards
  * @param requestsPerSecond of all customers together
  * @param seed of all random numbers
  */
 record FleetOptions(int doors, int spread, int customers, int converters, int shards, double shardCallMs,
-    double requestsPerSecond, long seed) {
+    int regions, double requestsPerSecond, long seed) {
 
   /** Requests a second of one customer on the mean, near the target's 1.5 million for 990,000. */
   private static final double REQUESTS_EACH = 0.8;
@@ -24,10 +25,17 @@
   /** A fleet for that load, with the counter whole and quick. */
   static FleetOptions of(int doors, int spread, double requestsPerSecond, long seed) {
     return new FleetOptions(doors, Math.min(spread, doors), (int) (requestsPerSecond / REQUESTS_EACH),
-        (int) Math.ceil(requestsPerSecond / REQUESTS_PER_CONVERTER), 1, SHARD_CALL_MS, requestsPerSecond, seed);
+        (int) Math.ceil(requestsPerSecond / REQUESTS_PER_CONVERTER), 1, SHARD_CALL_MS, 1, requestsPerSecond,
+        seed);
   }
 
   FleetOptions withShards(int number, double callMs) {
-    return new FleetOptions(doors, spread, customers, converters, number, callMs, requestsPerSecond, seed);
+    return new FleetOptions(doors, spread, customers, converters, number, callMs, regions, requestsPerSecond,
+        seed);
+  }
+
+  FleetOptions withRegions(int number) {
+    return new FleetOptions(doors, spread, customers, converters, shards, shardCallMs, number,
+        requestsPerSecond, seed);
   }
 }
--- a/src/test/java/willowdoor/scale/HollowFleet.java
+++ b/src/test/java/willowdoor/scale/HollowFleet.java
@@ -16,30 +16,34 @@
   /** Spread of the customers' demands, as the deviation of its logarithm: some ask ten times the median. */
   private static final double DEMAND_SPREAD = 1;
   private static final double SERVICE_MS = 30;
+  /** A converter that drains ends after that. */
+  private static final double DRAIN_MS = 5_000;
 
   private final FleetOptions options;
   private final VirtualTime time = new VirtualTime(START_MS);
   private final SplittableRandom random;
   private final List<HollowDoor> doors = new ArrayList<>();
-  private final Map<Long, ConverterModel> converters = new HashMap<>();
+  private final Map<Long, Placed> converters = new HashMap<>();
   private final RosterModel roster;
   private final DiscoveryModel discovery;
   private final CounterShards shards;
   private final QuotaLedger ledger;
   private final QuotaLedger granting;
   private final double[] demand;
+  private final ConverterModel unreachable;
   private FleetFigures figures = new FleetFigures();
   private FleetFigures affectedFigures = new FleetFigures();
   private IntPredicate affected = customer -> false;
-  private Reachability network = (door, region) -> true;
-  private int regions = 1;
+  private Reachability network = (from, to) -> true;
   private int requests;
 
-  /** Whether a front door reaches what lies in a region. */
+  /** Whether one region reaches another. */
   interface Reachability {
-    boolean reaches(HollowDoor door, int region);
+    boolean reaches(int from, int to);
   }
 
+  private record Placed(ConverterModel model, int zone) { }
+
   HollowFleet(FleetOptions options) {
     this.options = options;
     random = new SplittableRandom(options.seed());
@@ -51,7 +55,9 @@
     granting = new QuotaLedger(options.customers(), ScaleSettings.PLAN.rate(), ScaleSettings.PLAN.burst(),
         START_MS);
     demand = demand();
-    roster.converters().forEach(c -> converters.put(c.id(), newConverter(0)));
+    unreachable = newConverter(0);
+    unreachable.fail(ConverterModel.Health.VANISHED, 0);
+    roster.converters().forEach(c -> converters.put(c.id(), new Placed(newConverter(0), c.zone())));
     List<BackendEntry> known = roster.entries();
     for (int i = 0; i < options.doors(); i++) {
       HollowDoor door = new HollowDoor(this, i, random.nextLong());
@@ -98,8 +104,7 @@
 
   /** The n-th front door of a customer's set. */
   private HollowDoor door(int customer, int n) {
-    int first = (int) Math.floorMod(customer * 0x9E3779B97F4A7C15L >>> 7, (long) doors.size());
-    return doors.get((first + n) % doors.size());
+    return doors.get((firstDoor(customer, doors.size()) + n) % doors.size());
   }
 
   private ConverterModel newConverter(double startedMs) {
@@ -127,36 +132,56 @@
     affected = customers;
   }
 
-  /** Counts' shards and converters lie in so many regions, in turn, and not all front doors reach them. */
-  void cut(int intoRegions, Reachability reachability) {
-    regions = intoRegions;
+  /** From now on regions hear each other only where the reachability says so. */
+  void cut(Reachability reachability) {
     network = reachability;
   }
 
-  /** The region of a customer's count: that of its shard. */
-  int shardRegion(String countName) {
-    return shards.number(countName) % regions;
+  /** The region of a front door; each region has a block of them. */
+  static int doorRegion(int door, int doors, int regions) {
+    return door * regions / doors;
+  }
+
+  private int doorRegion(int door) {
+    return doorRegion(door, options.doors(), options.regions());
+  }
+
+  /** The first front door of a customer's set, whose region is the customer's home. */
+  static int firstDoor(int customer, int doors) {
+    return (int) Math.floorMod(customer * 0x9E3779B97F4A7C15L >>> 7, (long) doors);
+  }
+
+  /** The shard of a customer's counts: one of its home's, of which each region has as many. */
+  int shardNumber(int customer) {
+    int regions = options.regions();
+    int home = doorRegion(firstDoor(customer, options.doors()));
+    int each = shards.size() / regions;
+    return home * each + CounterShards.spread(customer, each);
+  }
+
+  CounterShard shard(String countName) {
+    return shards.get(shardNumber(customer(countName)));
   }
 
   boolean reachesShard(HollowDoor door, String countName) {
-    return network.reaches(door, shardRegion(countName));
+    int home = doorRegion(firstDoor(customer(countName), options.doors()));
+    return network.reaches(doorRegion(door.number()), home);
   }
 
   /** A converter as that front door finds it; one in a region that it cannot reach is silent. */
   ConverterModel converter(long id, int door) {
-    ConverterModel found = converters.get(id);
-    if (network.reaches(doors.get(door), (int) (id % regions))) {
-      return found;
-    }
-    ConverterModel silent = newConverter(0);
-    silent.fail(ConverterModel.Health.VANISHED, 0);
-    return silent;
+    Placed found = converters.get(id);
+    int region = found.zone % options.regions();
+    return network.reaches(doorRegion(door), region) ? found.model : unreachable;
   }
 
   /** One converter is replaced by another, as deployments do; discovery tells of it. */
   void replaceOne() {
     List<RosterModel.Change> changes = roster.replaceOne((long) now());
-    converters.put(changes.get(2).converter().id(), newConverter(now()));
+    RosterModel.Converter old = changes.get(0).converter();
+    RosterModel.Converter replacement = changes.get(2).converter();
+    converters.put(replacement.id(), new Placed(newConverter(now()), replacement.zone()));
+    time.after(DRAIN_MS, () -> failConverters(List.of(old), ConverterModel.Health.DIED));
     discovery.tell(changes);
   }
 
@@ -171,9 +196,9 @@
   void failConverters(List<RosterModel.Converter> which, ConverterModel.Health how) {
     for (RosterModel.Converter c : which) {
       if (how == ConverterModel.Health.UP) {
-        converters.get(c.id()).heal();
+        converters.get(c.id()).model.heal();
       } else {
-        converters.get(c.id()).fail(how, now());
+        converters.get(c.id()).model.fail(how, now());
       }
     }
   }
--- a/src/test/java/willowdoor/scale/ShardSweep.java
+++ b/src/test/java/willowdoor/scale/ShardSweep.java
@@ -27,7 +27,7 @@
           .withShards(shards, 1000 * CALL_SHARE / load);
       HollowFleet fleet = new HollowFleet(options);
       int dead = 0;
-      fleet.watch(customer -> fleet.shards().number(Integer.toString(customer, 36) + ":") == dead);
+      fleet.watch(customer -> fleet.shardNumber(customer) == dead);
       fleet.run(SETTLING_MS * part);
       whole(figures, shards, fleet, PHASE_MS * part);
       fleet.shards().get(dead).fail(CounterShard.Health.SILENT);
