--- a/src/test/java/willowdoor/scale/DiscoveryAgent.java
+++ b/src/test/java/willowdoor/scale/DiscoveryAgent.java
@@ -48,6 +48,11 @@
     return opened.get();
   }
 
+  /** Watches that are open and have been told the list. */
+  int watching() {
+    return watches.size();
+  }
+
   /** Bytes of messages written, all told. */
   long bytes() {
     return bytes.get();
--- a/src/test/java/willowdoor/scale/FleetFigures.java
+++ b/src/test/java/willowdoor/scale/FleetFigures.java
@@ -13,6 +13,9 @@
   /** Refused, and of those with enough units left in the customer's store. */
   long refused;
   long refusedWithRoom;
+  /** Of customers that ask for well under their quota on the mean. */
+  long lightAsked;
+  long lightRefused;
   /** First sends with, and without, enough units in the store. */
   long sentWithin;
   long sentBeyond;
@@ -40,6 +43,10 @@
     return share(refusedWithRoom, asked);
   }
 
+  double lightRefusedShare() {
+    return share(lightRefused, lightAsked);
+  }
+
   double beyondShare() {
     return share(sentBeyond, sentWithin + sentBeyond);
   }
--- a/src/test/java/willowdoor/scale/FleetReport.java
+++ b/src/test/java/willowdoor/scale/FleetReport.java
@@ -20,6 +20,7 @@
     one(size, prefix + "served_share", figures.servedShare());
     one(size, prefix + "served_of_grantable", figures.servedOfGrantable());
     one(size, prefix + "refused_with_room", figures.refusedWithRoomShare());
+    one(size, prefix + "light_refused", figures.lightRefusedShare());
     one(size, prefix + "sent_beyond_quota", figures.beyondShare());
     one(size, prefix + "calls_each", figures.callsEach());
   }
--- a/src/test/java/willowdoor/scale/HollowDoor.java
+++ b/src/test/java/willowdoor/scale/HollowDoor.java
@@ -134,6 +134,7 @@
   private void refuse(Open request) {
     FleetFigures figures = fleet.figures(request.customer);
     figures.refused++;
+    figures.lightRefused += fleet.light(request.customer) ? 1 : 0;
     if (fleet.ledger().holds(request.customer, request.units, fleet.now())) {
       figures.refusedWithRoom++;
     }
--- a/src/test/java/willowdoor/scale/HollowFleet.java
+++ b/src/test/java/willowdoor/scale/HollowFleet.java
@@ -16,6 +16,8 @@
   /** Spread of the customers' demands, as the deviation of its logarithm: some ask ten times the median. */
   private static final double DEMAND_SPREAD = 1;
   private static final double SERVICE_MS = 30;
+  /** A customer that asks for less than this share of its quota is a light one. */
+  private static final double LIGHT_USE = 0.5;
   /** A converter that drains ends after that. */
   private static final double DRAIN_MS = 5_000;
 
@@ -93,6 +95,7 @@
     double units = 1 + random.nextInt((int) ScaleSettings.MOST_UNITS);
     FleetFigures seen = figures(customer);
     seen.asked++;
+    seen.lightAsked += light(customer) ? 1 : 0;
     seen.grantable += granting.take(customer, units, now()) ? 1 : 0;
     HollowDoor door = door(customer, random.nextInt(options.spread()));
     if (door.up()) {
@@ -102,6 +105,14 @@
     }
   }
 
+  /** Whether a customer asks for well under its quota on the mean. */
+  boolean light(int customer) {
+    double share = demand[customer] - (customer == 0 ? 0 : demand[customer - 1]);
+    double perSecond = share / demand[demand.length - 1] * options.requestsPerSecond();
+    double meanUnits = (1 + ScaleSettings.MOST_UNITS) / 2;
+    return perSecond * meanUnits < LIGHT_USE * ScaleSettings.PLAN.rate();
+  }
+
   /** The n-th front door of a customer's set. */
   private HollowDoor door(int customer, int n) {
     return doors.get((firstDoor(customer, doors.size()) + n) % doors.size());
