--- a/src/test/java/willowdoor/scale/CounterShards.java
+++ b/src/test/java/willowdoor/scale/CounterShards.java
@@ -10,7 +10,8 @@
   private final List<CounterShard> shards;
 
   CounterShards(int number, VirtualTime time, double callMs, double longestQueueMs) {
-    shards = IntStream.range(0, number).mapToObj(i -> new CounterShard(time, callMs, longestQueueMs)).toList();
+    shards = IntStream.range(0, number)
+        .mapToObj(i -> new CounterShard(time, callMs, longestQueueMs)).toList();
   }
 
   /**
--- a/src/test/java/willowdoor/scale/HollowFleet.java
+++ b/src/test/java/willowdoor/scale/HollowFleet.java
@@ -12,7 +12,10 @@
 /** Hollow front doors with their load and all that they speak to, in one process on virtual time. */
 final class HollowFleet {
 
-  private static final double START_MS = 1_000_000;
+  /** In the range of real clocks, as names of counts hold the number of a window. */
+  private static final double START_MS = 1.8e12;
+  /** Customers are numbers up to 2^33, so that most names of counts are as long as the longest. */
+  private static final long FIRST_CUSTOMER = 1L << 32;
   /** Spread of the customers' demands, as the deviation of its logarithm: some ask ten times the median. */
   private static final double DEMAND_SPREAD = 1;
   private static final double SERVICE_MS = 30;
@@ -122,9 +125,14 @@
     return new ConverterModel(SERVICE_MS, startedMs, random.split());
   }
 
+  /** The number by which requests name a customer. */
+  static long customerNumber(int customer) {
+    return FIRST_CUSTOMER + customer;
+  }
+
   /** The customer whose count has that name. */
   static int customer(String countName) {
-    return Integer.parseInt(countName.substring(0, countName.indexOf(':')), 36);
+    return (int) (Long.parseLong(countName.substring(0, countName.indexOf(':')), 36) - FIRST_CUSTOMER);
   }
 
   /** Lets that much virtual time pass, and gives what was seen of it: of the affected, and of all others. */
--- a/src/test/java/willowdoor/scale/ProgramProcess.java
+++ b/src/test/java/willowdoor/scale/ProgramProcess.java
@@ -13,7 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 
-/** The real front door as a process of its own, with the virtual machine's options of deploy/balancer.toml. */
+/** The real front door as a process of its own, started with the options of deploy/balancer.toml. */
 final class ProgramProcess implements Closeable {
 
   /** The kernel's clock ticks in /proc/PID/stat. */
--- a/src/test/java/willowdoor/scale/ScaleCommand.java
+++ b/src/test/java/willowdoor/scale/ScaleCommand.java
@@ -21,7 +21,7 @@
 
   private static final List<Sweep> SWEEPS = List.of(new BackendSweep(), new ProgramSweep(),
       new DoorSweep(false), new DoorSweep(true), new SpreadSweep(), new ChangeSweep(), new TenantSweep(),
-      new ShardSweep(), new IncidentSweep());
+      new CounterSweep(), new ShardSweep(), new IncidentSweep());
 
   @Parameters(paramLabel = "SWEEP", description = "Sweeps to run; all in their order if none is named.")
   private List<String> names = new ArrayList<>();
--- a/src/test/java/willowdoor/scale/ScaleTest.java
+++ b/src/test/java/willowdoor/scale/ScaleTest.java
@@ -270,7 +270,7 @@
           .computeIfAbsent(m.get("size").asDouble(), s -> new TreeSet<>()).add(metric);
     }
     assertEquals(Set.of("backends", "program", "doors-set", "doors-all", "spread", "changes", "tenants",
-        "shards", "incidents"), metrics.keySet());
+        "counter", "shards", "incidents"), metrics.keySet());
     assertTrue(metrics.get("program").get(1_000.0).contains("zone_hold_ms"), "the program took no list");
     metrics.forEach((sweep, sizes) -> {
       if (!sweep.equals("shards") && !sweep.equals("incidents")) {
--- a/src/test/java/willowdoor/scale/ShardSweep.java
+++ b/src/test/java/willowdoor/scale/ShardSweep.java
@@ -52,6 +52,7 @@
     figures.one(shards, "shard_bytes_per_s", (fleet.shards().bytes() - bytes) / span.seconds() / shards);
     figures.one(shards, "busiest_of_mean", fleet.shards().imbalance());
     figures.one(shards, "names_held", fleet.shards().get(0).names());
+    figures.one(shards, "added_ms_p99", span.others().addedMs(99));
     phase(figures, shards, "", span);
   }
 
