--- a/src/test/java/willowdoor/scale/HollowDoor.java
+++ b/src/test/java/willowdoor/scale/HollowDoor.java
@@ -89,8 +89,9 @@
 
   void request(String id, int customer, double units) {
     open.put(id, new Open(customer, units, fleet.now()));
+    double giveUpMs = fleet.now() + ScaleSettings.CLASS.deadlineMs();
     deliver(new Request(id, ScaleSettings.CLASS, ScaleSettings.PLAN.name(),
-        HollowFleet.customerNumber(customer), fleet.options().spread(), units, fleet.now() + ScaleSettings.CLASS.deadlineMs()));
+        HollowFleet.customerNumber(customer), fleet.options().spread(), units, giveUpMs));
   }
 
   /** A message of discovery's, read as a watch reads it. */
--- a/src/test/java/willowdoor/scale/ScaleCommand.java
+++ b/src/test/java/willowdoor/scale/ScaleCommand.java
@@ -29,7 +29,7 @@
   @Option(names = "--quick", description = "Small sizes, under a minute in all: shows that the tests work.")
   private boolean quick;
 
-  @Option(names = "--seed", defaultValue = "1", description = "Seed of the random numbers (${DEFAULT-VALUE}).")
+  @Option(names = "--seed", defaultValue = "1", description = "Seed of random numbers (${DEFAULT-VALUE}).")
   private long seed;
 
   @Option(names = "--seconds", defaultValue = "20",
