--- a/src/test/java/willowdoor/scale/CounterShard.java
+++ b/src/test/java/willowdoor/scale/CounterShard.java
@@ -57,7 +57,9 @@
     return bytes;
   }
 
+  /** Names whose life has not run out. */
   int names() {
+    counts.values().removeIf(count -> count.untilMs <= time.now());
     return counts.size();
   }
 
--- a/src/test/java/willowdoor/scale/DiscoveryAgent.java
+++ b/src/test/java/willowdoor/scale/DiscoveryAgent.java
@@ -11,6 +11,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
@@ -24,6 +27,8 @@
   private static final long HEARTBEAT_MS = 2_000;
 
   private final ServerSocket server;
+  private final ScheduledExecutorService heartbeats =
+      Executors.newSingleThreadScheduledExecutor(DiscoveryAgent::daemon);
   private final List<Watch> watches = new CopyOnWriteArrayList<>();
   private final AtomicInteger opened = new AtomicInteger();
   private final AtomicLong bytes = new AtomicLong();
@@ -35,8 +40,10 @@
   DiscoveryAgent(String whole, long version) throws IOException {
     become(whole, version);
     server = new ServerSocket(0, 16, InetAddress.getLoopbackAddress());
-    thread(this::accept);
-    thread(this::beat);
+    daemon(this::accept).start();
+    byte[] empty = {'\n'};
+    heartbeats.scheduleAtFixedRate(() -> watches.forEach(w -> w.write(empty, 1)), HEARTBEAT_MS, HEARTBEAT_MS,
+        TimeUnit.MILLISECONDS);
   }
 
   int port() {
@@ -86,40 +93,28 @@
 
   @Override
   public void close() throws IOException {
+    heartbeats.shutdownNow();
     server.close();
     watches.forEach(Watch::close);
   }
 
-  private static void thread(Runnable work) {
+  private static Thread daemon(Runnable work) {
     Thread thread = new Thread(work, "discovery agent");
     thread.setDaemon(true);
-    thread.start();
+    return thread;
   }
 
   private void accept() {
     while (!server.isClosed()) {
       try {
         Socket socket = server.accept();
-        thread(() -> begin(socket));
+        daemon(() -> begin(socket)).start();
       } catch (IOException e) {
         return;
       }
     }
   }
 
-  /** Heartbeats, on a thread of its own for all watches. */
-  private void beat() {
-    byte[] empty = {'\n'};
-    while (!server.isClosed()) {
-      try {
-        Thread.sleep(HEARTBEAT_MS);
-      } catch (InterruptedException e) {
-        return;
-      }
-      watches.forEach(w -> w.write(empty, 1));
-    }
-  }
-
   private void begin(Socket socket) {
     try {
       BufferedReader in =
