--- a/src/test/java/willowdoor/scale/OtherVersion.java
+++ b/src/test/java/willowdoor/scale/OtherVersion.java
@@ -11,7 +11,10 @@
 import java.util.stream.Collectors;
 import willowdoor.QuotaPolicy;
 
-/** Another built working copy: the same sweep, in a process of its own with that copy's classes in front. */
+/**
+ * Another working copy, built by its own deploy/scale.sh: the same sweep, in a process of its own with that
+ * copy's classes in front, and its libraries besides these.
+ */
 final class OtherVersion {
 
   private final Path copy;
@@ -40,7 +43,7 @@
     command.addAll(ManagementFactory.getRuntimeMXBean().getInputArguments());
     command.add("-cp");
     command.add(classes + File.pathSeparator + copy.resolve("target/test-classes") + File.pathSeparator
-        + remainingClassPath());
+        + remainingClassPath() + File.pathSeparator + libraries());
     command.add(ScaleCommand.class.getName());
     command.addAll(arguments);
     command.add(sweep.name());
@@ -50,6 +53,11 @@
     }
   }
 
+  private String libraries() throws IOException {
+    Path list = copy.resolve("target/scale.classpath");
+    return Files.exists(list) ? Files.readString(list).trim() : "";
+  }
+
   private static String remainingClassPath() {
     Path own = Path.of(programClasses()).toAbsolutePath().normalize();
     return Arrays.stream(System.getProperty("java.class.path").split(File.pathSeparator))
--- a/src/test/java/willowdoor/scale/Report.java
+++ b/src/test/java/willowdoor/scale/Report.java
@@ -53,15 +53,18 @@
     TreeMap<Double, Map<String, Measurement>> rows = new TreeMap<>();
     Map<String, List<Growth.Point>> columns = new LinkedHashMap<>();
     String parameter = "";
+    String version = "";
     for (Measurement m : all) {
       if (m.sweep().equals(sweep)) {
         parameter = m.parameter();
+        version = m.version();
         rows.computeIfAbsent(m.size(), s -> new LinkedHashMap<>()).put(m.metric(), m);
         columns.computeIfAbsent(m.metric(), c -> new ArrayList<>())
             .add(new Growth.Point(m.size(), m.median()));
       }
     }
-    tables.printf(Locale.ROOT, "%n== %s ==%n%-32s", sweep, parameter);
+    tables.printf(Locale.ROOT, "%n== %s, version %s, medians ==%n%-32s", sweep, version,
+        parameter);
     rows.keySet().forEach(size -> tables.printf(Locale.ROOT, " %11s", number(size)));
     tables.printf(Locale.ROOT, " %10s %8s %s%n", "slope", "exponent", "budget");
     columns.forEach((metric, points) -> {
