--- a/src/test/java/willowdoor/net/WireFormats.java
+++ b/src/test/java/willowdoor/net/WireFormats.java
@@ -1,9 +1,12 @@
 package willowdoor.net;
 
 import java.io.IOException;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Queue;
 import willowdoor.GatewayApi.Add;
 import willowdoor.GatewayApi.Roster;
-import willowdoor.GatewayApi.RosterForm;
 
 /**
  * The program's own reading of discovery's messages and writing of the counter's calls, opened for the scale
@@ -21,8 +24,24 @@
    * @throws IOException where a watch would end: malformed, without a list, or beyond a limit of the reader
    */
   public static Roster roster(byte[] message) throws IOException {
-    RosterNews news = RosterNews.parse(message);
-    return new Roster(news.full() ? RosterForm.COMPLETE : RosterForm.CHANGES, news.entries());
+    List<RosterNews> heard = new ArrayList<>();
+    new RosterReader(Integer.MAX_VALUE, heard::add).read(message);
+    if (heard.size() != 1) {
+      throw new IOException("not one whole message");
+    }
+    return new Roster(heard.get(0).form(), heard.get(0).entries());
+  }
+
+  /** What a message tells, in the pieces in which the program applies it, each in a turn of its loop. */
+  public static List<Roster> turns(Roster whole) {
+    Queue<Runnable> turns = new ArrayDeque<>();
+    List<Roster> pieces = new ArrayList<>();
+    new RosterFeed(turns::add, piece -> pieces.add(new Roster(piece.form(), piece.entries())))
+        .take(new RosterNews(0, whole.form(), whole.entries()));
+    while (!turns.isEmpty()) {
+      turns.poll().run();
+    }
+    return pieces;
   }
 
   /** The line of one call to the counter, its end included. */
--- a/src/test/java/willowdoor/scale/BackendSweep.java
+++ b/src/test/java/willowdoor/scale/BackendSweep.java
@@ -6,10 +6,13 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
+import willowdoor.GatewayApi.Action;
 import willowdoor.GatewayApi.BackendEntry;
 import willowdoor.GatewayApi.Phase;
 import willowdoor.GatewayApi.Roster;
 import willowdoor.GatewayApi.RosterForm;
+import willowdoor.GatewayApi.WakeAt;
+import willowdoor.GatewayApi.Woken;
 import willowdoor.QuotaPolicy;
 import willowdoor.net.WireFormats;
 
@@ -25,6 +28,8 @@
   private static final int CUSTOMERS = 500;
   /** Backends held together when their heap is measured: enough that nothing else matters. */
   private static final int LEAST_HELD = 100_000;
+  /** The module asks by this label for a further turn, in which it removes more of those that left. */
+  private static final String SWEEP = "sweep";
   /** Entries of one message: less than the reader takes at once. */
   private static final int MESSAGE = 5_000;
 
@@ -108,7 +113,7 @@
     return new Roster(RosterForm.CHANGES, entries);
   }
 
-  /** Zones go one after the other, each coming back before the next; the time of one event each. */
+  /** Zones go one after the other, each coming back before the next; the longest turn of the loop each. */
   private static double[] zones(QuotaPolicy policy, RosterModel model, double seconds) throws IOException {
     double until = Stopwatch.wallMs() + 1000 * seconds;
     double[] times = new double[MOST_ZONES];
@@ -116,12 +121,27 @@
     do {
       Roster gone = roster(model, model.zone(done, Phase.REMOVED));
       Roster back = roster(model, model.zone(done, Phase.SERVING));
-      times[done++] = Stopwatch.repeat(1, 0, () -> policy.on(3, gone))[0];
-      policy.on(4, back);
+      times[done++] = longestTurn(policy, gone);
+      longestTurn(policy, back);
     } while (done < MOST_ZONES && Stopwatch.wallMs() < until);
     return Arrays.copyOf(times, done);
   }
 
+  /** Applies a message as the program does; gives the processor time of the longest turn. */
+  private static double longestTurn(QuotaPolicy policy, Roster message) {
+    double longest = 0;
+    List<Action> actions = new ArrayList<>();
+    for (Roster piece : WireFormats.turns(message)) {
+      longest = Math.max(longest, Stopwatch.repeat(1, 0, () -> actions.addAll(policy.on(3, piece)))[0]);
+    }
+    while (actions.stream().anyMatch(action -> action instanceof WakeAt wake && wake.label().equals(SWEEP))) {
+      actions.clear();
+      longest = Math.max(longest,
+          Stopwatch.repeat(1, 0, () -> actions.addAll(policy.on(4, new Woken(SWEEP))))[0]);
+    }
+    return longest;
+  }
+
   /** Whole requests: the call to the counter, the answer to it, the attempt, and the end of that. */
   private static double[] requests(QuotaPolicy policy, double seconds) {
     RequestCycle cycle = new RequestCycle(policy, 1_000, CUSTOMERS);
--- a/src/test/java/willowdoor/scale/RosterModel.java
+++ b/src/test/java/willowdoor/scale/RosterModel.java
@@ -24,7 +24,7 @@
   private int named;
 
   /** One converter of the list; a restarted or replaced one is another record. */
-  record Converter(String name, int number, int zone, long startedMs, long id) {
+  record Converter(String name, int number, int zone, long startedMs, long id, long place) {
     String zoneName() {
       return "z" + zone;
     }
@@ -46,15 +46,16 @@
 
   private Converter next(int number, int zone, long startedMs) {
     Converter unnumbered =
-        new Converter(String.format("s-%08x", number * 0x9E3779B1), number, zone, startedMs, 0);
-    return new Converter(unnumbered.name, number, zone, startedMs, readId(unnumbered));
+        new Converter(String.format("s-%08x", number * 0x9E3779B1), number, zone, startedMs, 0, 0);
+    BackendEntry read = read(unnumbered);
+    return new Converter(unnumbered.name, number, zone, startedMs, read.id(), read.place());
   }
 
-  /** The number that the program makes of the name, told by the program itself. */
-  private long readId(Converter converter) {
+  /** With the numbers that the program makes of the name and of the address, told by the program itself. */
+  private BackendEntry read(Converter converter) {
     String text = message(false, List.of(new Change(converter, Phase.SERVING)));
     try {
-      return WireFormats.roster(text.getBytes(StandardCharsets.UTF_8)).entries().get(0).id();
+      return WireFormats.roster(text.getBytes(StandardCharsets.UTF_8)).entries().get(0);
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
@@ -92,7 +93,8 @@
 
   static BackendEntry entry(Change change) {
     Converter c = change.converter();
-    return new BackendEntry(c.id(), c.zoneName(), c.cell(), change.phase(), 1, c.startedMs());
+    return new BackendEntry(c.id(), c.zoneName(), c.cell(), change.phase(), 1, c.startedMs(),
+        c.place());
   }
 
   List<BackendEntry> entries() {
