Keep no order and no reach of a cell that nobody asks for

Cause: the index kept a sorted order, and the module a reach with its mean, for every cell listed: with cells of a handful these were most of the heap for each backend. Change: a cell's order is built when a repeat is first bound to it, by a look through its zone, and a group's reach when a backend of it is first looked at. The columns of the index grow by a thirty-second, and a cell is 24 bytes. The model of the scale tests puts cells of four into one zone each. Lines at fault: BackendIndex.Cell and GatewayState.GroupReaches.know.

--- a/src/main/java/willowdoor/BackendIndex.java
+++ b/src/main/java/willowdoor/BackendIndex.java
@@ -1,6 +1,7 @@
 package willowdoor;
 
 import it.unimi.dsi.fastutil.doubles.DoubleArrayList;
+import it.unimi.dsi.fastutil.ints.Int2IntOpenHashMap;
 import it.unimi.dsi.fastutil.ints.IntArrayList;
 import it.unimi.dsi.fastutil.longs.Long2IntOpenHashMap;
 import it.unimi.dsi.fastutil.longs.LongArrayList;
@@ -28,7 +29,7 @@
   private static final double LEAST_SIZE = 1e-6;
   private static final double MOST_SIZE = 1e9;
   /** The columns grow by this part of their length: little is left unused. */
-  private static final int GROWTH = 16;
+  private static final int GROWTH = 32;
   /** The low bits of an entry in the column of groups are its phase. */
   private static final int PHASE_BITS = 2;
   private static final int PHASE_MASK = (1 << PHASE_BITS) - 1;
@@ -61,22 +62,23 @@
   private final class Zone {
     final String name;
     final SortedSlots serving = new SortedSlots(BackendIndex.this::id);
-    final Map<Integer, Cell> cells = new HashMap<>();
+    /** The numbers of its cells in the list of all, by the numbers that they have here. */
+    final Int2IntOpenHashMap groups = new Int2IntOpenHashMap();
 
     Zone(String name) {
       this.name = name;
+      groups.defaultReturnValue(NONE);
     }
   }
 
   /** The backends of one cell of a zone, which has a number of its own there. */
-  private final class Cell {
-    final int number;
+  private static final class Cell {
     final Zone zone;
     final int inZone;
-    final SortedSlots serving = new SortedSlots(BackendIndex.this::id);
+    /** Null until it is asked for: few cells are, and there may be tens of thousands. */
+    SortedSlots serving;
 
-    Cell(int number, Zone zone, int inZone) {
-      this.number = number;
+    Cell(Zone zone, int inZone) {
       this.zone = zone;
       this.inZone = inZone;
     }
@@ -128,8 +130,23 @@
   /** Those of them in a cell of a zone, by identifier. */
   SortedSlots inCell(String zone, int cell) {
     Zone found = zones.get(zone);
-    Cell of = found == null ? null : found.cells.get(cell);
-    return of == null ? EMPTY : of.serving;
+    int group = found == null ? NONE : found.groups.get(cell);
+    return group == NONE ? EMPTY : inCell(cells.get(group));
+  }
+
+  /** The first call for a cell looks through its zone. */
+  private SortedSlots inCell(Cell cell) {
+    if (cell.serving == null) {
+      cell.serving = new SortedSlots(this::id);
+      SortedSlots inZone = cell.zone.serving;
+      for (int i = 0; i < inZone.size(); i++) {
+        int slot = inZone.get(i);
+        if (cells.get(group(slot)) == cell) {
+          cell.serving.add(slot);
+        }
+      }
+    }
+    return cell.serving;
   }
 
   @Override
@@ -226,13 +243,13 @@
       in = new Zone(zone);
       zones.put(zone, in);
     }
-    Cell found = in.cells.get(cell);
-    if (found == null) {
-      found = new Cell(cells.size(), in, cell);
-      in.cells.put(cell, found);
-      cells.add(found);
+    int known = in.groups.get(cell);
+    if (known == NONE) {
+      known = cells.size();
+      in.groups.put(cell, known);
+      cells.add(new Cell(in, cell));
     }
-    return found.number;
+    return known;
   }
 
   /** Makes room for a backend that is not known yet; it counts as removed until it is {@link #set}. */
@@ -368,16 +385,20 @@
     Cell cell = cells.get(group(slot));
     serving.add(slot);
     ranked.add(slot);
-    cell.serving.add(slot);
     cell.zone.serving.add(slot);
+    if (cell.serving != null) {
+      cell.serving.add(slot);
+    }
   }
 
   private void leaveOrders(int slot) {
     Cell cell = cells.get(group(slot));
     serving.remove(slot);
     ranked.remove(slot);
-    cell.serving.remove(slot);
     cell.zone.serving.remove(slot);
+    if (cell.serving != null) {
+      cell.serving.remove(slot);
+    }
   }
 
   private void add(int slot) {
--- a/src/main/java/willowdoor/GatewayState.java
+++ b/src/main/java/willowdoor/GatewayState.java
@@ -1,8 +1,7 @@
 package willowdoor;
 
-import java.util.ArrayList;
+import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.function.Supplier;
 import willowdoor.GatewayApi.Allowed;
@@ -67,31 +66,22 @@
     }
   }
 
-  /** The reach of each zone and of each cell, by the number of a backend's group. */
+  /** The reach of each zone and cell that a backend with full state is in, by the zone's name and the group. */
   static final class GroupReaches {
     private final Supplier<Reach> maker;
-    private final Map<String, Reach> byName = new HashMap<>();
-    private final List<Reach> zones = new ArrayList<>();
-    private final List<Reach> cells = new ArrayList<>();
+    private final Map<String, Reach> zones = new HashMap<>();
+    private final Int2ObjectOpenHashMap<Reach> cells = new Int2ObjectOpenHashMap<>();
 
     GroupReaches(Supplier<Reach> maker) {
       this.maker = maker;
     }
 
-    /** Takes the name of a group, whose number is known already or is the next. */
-    void know(int group, String zone, int cell) {
-      if (group == zones.size()) {
-        zones.add(byName.computeIfAbsent(zone, name -> maker.get()));
-        cells.add(byName.computeIfAbsent(zone + "/" + cell, name -> maker.get()));
-      }
-    }
-
-    Reach zone(int group) {
-      return zones.get(group);
+    Reach zone(String name) {
+      return zones.computeIfAbsent(name, missing -> maker.get());
     }
 
     Reach cell(int group) {
-      return cells.get(group);
+      return cells.computeIfAbsent(group, missing -> maker.get());
     }
   }
 
@@ -197,7 +187,7 @@
       int group = index.group(slot);
       zone = index.zone(group);
       cell = index.cell(group);
-      zoneReach = reaches.zone(group);
+      zoneReach = reaches.zone(zone);
       cellReach = reaches.cell(group);
     }
 
--- a/src/main/java/willowdoor/QuotaPolicy.java
+++ b/src/main/java/willowdoor/QuotaPolicy.java
@@ -710,7 +710,7 @@
   private BitSet listed;
   private boolean sweeping;
   private final GroupReaches reaches =
-      new GroupReaches(() -> new Reach(new Mean(NEWEST, PRESSURE_LIFE_MS, now)));
+      new GroupReaches(() -> new Reach(new Mean(NEWEST, PRESSURE_LIFE_MS, startedAt)));
   private double fleetService = UNKNOWN_SERVICE_MS;
   /** This gateway keeps to so many: those that come first in its own order. */
   private int usual;
@@ -754,7 +754,6 @@
   /** Takes one entry; one that has started again is a new backend. */
   private void take(BackendEntry x) {
     int group = index.group(x.zone(), x.cell());
-    reaches.know(group, x.zone(), x.cell());
     int known = index.find(x.id());
     int slot = known == BackendIndex.NONE ? index.add(x.id(), group) : known;
     Backend b = states.get(slot);
--- a/src/test/java/willowdoor/scale/RosterModel.java
+++ b/src/test/java/willowdoor/scale/RosterModel.java
@@ -15,7 +15,8 @@
 
   /** Zones of the target; converters are spread over them evenly. */
   static final int ZONES = 19;
-  private static final int CELL_SIZE = 20;
+  /** Converters of one cell, all in one zone: a handful. */
+  private static final int CELL_SIZE = 4;
 
   private final SplittableRandom random;
   private final List<Converter> converters = new ArrayList<>();
@@ -30,7 +31,7 @@
     }
 
     int cell() {
-      return number / CELL_SIZE;
+      return zone + ZONES * (number / ZONES / CELL_SIZE);
     }
   }
 
