--- a/src/main/java/willowdoor/GatewayState.java
+++ b/src/main/java/willowdoor/GatewayState.java
@@ -66,7 +66,7 @@
     }
   }
 
-  /** The reach of each zone and cell that a backend with full state is in, by the zone's name and the group. */
+  /** The reach of each zone and cell that a backend with full state is in, by zone name and by group. */
   static final class GroupReaches {
     private final Supplier<Reach> maker;
     private final Map<String, Reach> zones = new HashMap<>();
