Wait 3 s at most for the next list behind ones that cannot be taken

Cause: after four lists in a row that could not be taken the waits grew to 10 s and, spread by chance, 15 s. A change counts as told 6 s after discovery had it, whatever became of calls meanwhile, so the first good list could come too late. Change: the waits grow to 2 s, 3 s with the spread. The test that wanted 10 s wants 2 s, and a new one bounds the longest wait.

--- a/src/main/java/willowdoor/net/DiscoveryClient.java
+++ b/src/main/java/willowdoor/net/DiscoveryClient.java
@@ -37,7 +37,8 @@
  * <li>that did not come up: 500 ms and the back-off, 800 ms;
  * <li>that came up and did not begin to answer: 500 ms;
  * <li>that stopped within a list: 300 ms and the back-off, 600 ms;
- * <li>that began to answer and told nothing, or fell silent: 2,500 ms.
+ * <li>that began to answer and told nothing, or fell silent: 2,500 ms;
+ * <li>that told the fourth list in a row, or a later one, that cannot be taken: 3,000 ms.
  * </ul>
  * The back-off does not grow beyond its longest, so the sum holds for calls that failed before as well. A
  * watch that falls silent, one more that tells nothing and one that does not come up make 5,800 ms.
--- a/src/main/java/willowdoor/net/WatchBackoff.java
+++ b/src/main/java/willowdoor/net/WatchBackoff.java
@@ -12,8 +12,11 @@
   private static final double LEAST_MS = 100;
   /** What the agent has counts as told without a watch: well within the second that a drain leaves. */
   private static final double MOST_MS = 200;
-  /** For lists that cannot be taken: a list that is told in the meantime cannot be taken either. */
-  private static final double MOST_UNTAKEN_MS = 10_000;
+  /**
+   * For lists that cannot be taken. Spread by chance it is 3 s at most: the next list may be good, and what
+   * it tells counts as told 6 s after discovery had it, whatever became of calls meanwhile.
+   */
+  private static final double MOST_UNTAKEN_MS = 2_000;
   /** So many in a row are taken for bytes spoilt on the way. */
   private static final int SPOILT = 3;
   /** A watch that lasted so long was a good one; junk on each new one must not make a busy loop. */
