Write the first log line before listening, not at the first reload

One thread of a front door runs at a time there, and the first line sets up logging: some hundred classes, none of them in the class-data archive. Change: a line is written behind the warm-up and ahead of listening. Line at fault: FrontDoor.reload, LOG.info as the first line of the process.

--- a/src/main/java/willowdoor/net/FrontDoor.java
+++ b/src/main/java/willowdoor/net/FrontDoor.java
@@ -87,6 +87,8 @@
       door.openAdmin(config);
       door.loop.submit(() -> door.wire(config)).sync();
       beforeListening.of(door);
+      // The first line takes a tenth of a second of a core, which nobody waits for here.
+      LOG.info("listening on " + config.listen());
       door.listening = door.clients.listen(door.group, config.listen()).sync().channel();
     } catch (ReloadSignal.UnavailableException | RuntimeException e) {
       door.stop();
--- a/src/test/java/willowdoor/net/FrontDoorTest.java
+++ b/src/test/java/willowdoor/net/FrontDoorTest.java
@@ -9,13 +9,18 @@
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.logging.Handler;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -270,4 +275,46 @@
       throw new IOException(e);
     }
   }
+
+  /** Setting logging up takes long on a share of a core, and holds up every request that is there by then. */
+  @Test
+  void itsFirstLogLineIsWrittenBeforeItTakesClients() throws Exception {
+    int port;
+    try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      port = free.getLocalPort();
+    }
+    List<Boolean> listeningAtLine = new CopyOnWriteArrayList<>();
+    Logger log = Logger.getLogger(FrontDoor.class.getName());
+    Handler handler = new Handler() {
+      @Override
+      public void publish(LogRecord line) {
+        listeningAtLine.add(connects(port));
+      }
+
+      @Override
+      public void flush() {
+      }
+
+      @Override
+      public void close() {
+      }
+    };
+    log.addHandler(handler);
+    try {
+      peers.start(peers.config(Peers.entry("s-1", peers.backend.getLocalPort(), "active"))
+          .replace("\"listen\":\"127.0.0.1:0\"", "\"listen\":\"127.0.0.1:" + port + "\""));
+    } finally {
+      log.removeHandler(handler);
+    }
+    assertEquals(List.of(false), listeningAtLine);
+    assertTrue(connects(port));
+  }
+
+  private static boolean connects(int port) {
+    try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), port)) {
+      return socket.isConnected();
+    } catch (IOException e) {
+      return false;
+    }
+  }
 }
