Never use a backend connection again on which something has come since its response

Cause: the settle time of 4 ms counts from the moment in which the first response was read; nothing looked at the socket between that and the next request.

Change: at reuse the pool asks the kernel once more, and closes the connection if anything waits, bytes or a close. A backend that has sent more than its responses gets each request on a connection of its own for 10 s.

Tests: four in BackendConnectionPoolTest without timing, each red before.

--- a/src/main/java/quotagateway/backend/BackendConnection.java
+++ b/src/main/java/quotagateway/backend/BackendConnection.java
@@ -8,6 +8,8 @@
 import io.netty.handler.codec.http.HttpUtil;
 import java.net.InetSocketAddress;
 import quotagateway.policy.event.Status;
+import quotagateway.transport.KernelSockets;
+import quotagateway.transport.KernelSockets.UnreadInput;
 import quotagateway.transport.MonotonicClock;
 
 /**
@@ -24,6 +26,9 @@
     /** Its attempt has ended, and another one may follow on it. */
     void connectionReusable(BackendConnection connection);
 
+    /** More has come on it than the responses that were asked for. */
+    void excessReceived();
+
     /** It has been closed, by whichever side. */
     void connectionClosed(BackendConnection connection);
   }
@@ -73,8 +78,21 @@
     return address;
   }
 
-  boolean isActive() {
-    return channel.isActive();
+  /**
+   * Whether it can carry a request now: it is open, and nothing has come on it since its last
+   * response, even if that was not read yet. Prevents what has come from being taken for the
+   * response to the next request, where the event loop is late in reading it. Where the answer is
+   * no the connection has to be closed.
+   */
+  boolean isUsable() {
+    if (!channel.isActive()) {
+      return false;
+    }
+    UnreadInput unread = KernelSockets.unreadInput(channel);
+    if (unread == UnreadInput.BYTES) {
+      owner.excessReceived();
+    }
+    return unread == UnreadInput.NONE;
   }
 
   double idleSinceMs() {
@@ -128,8 +146,7 @@
   @Override
   protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
     if (receiver.attempt() == null) {
-      // A response that no request asked for.
-      ctx.close();
+      onExcess();
     } else {
       receiver.onPart(part);
     }
@@ -154,10 +171,16 @@
         receiver.watchProgress(decoder.hasMoreBytes());
       }
     } else if (decoder.hasMoreBytes()) {
-      ctx.close();
+      onExcess();
     }
   }
 
+  /** Something has come that no request asked for. */
+  private void onExcess() {
+    owner.excessReceived();
+    channel.close();
+  }
+
   /** The response is complete: the attempt ends, and the connection may be used again. */
   private void finish() {
     Attempt attempt = receiver.attempt();
@@ -166,6 +189,9 @@
     // A response ahead of the request's end is none to this request.
     boolean inOrder = attempt.isWritten();
     boolean reusable = inOrder && isReusableAfter(attempt);
+    if (hasExcess()) {
+      owner.excessReceived();
+    }
     Status status =
         inOrder ? ResponseClassifier.classify(response.head()) : Status.WRITE_INCOMPLETE;
     receiver.detachAttempt();
@@ -190,12 +216,16 @@
    */
   private boolean isReusableAfter(Attempt attempt) {
     return !attempt.hasEnded()
-        && !receiver.excessReceived()
-        && !decoder.hasMoreBytes()
+        && !hasExcess()
         && HttpUtil.isKeepAlive(receiver.response().head())
         && channel.isActive();
   }
 
+  /** Whether more has come than the one response. */
+  private boolean hasExcess() {
+    return receiver.excessReceived() || decoder.hasMoreBytes();
+  }
+
   /**
    * What came cannot be the response, or it stopped half way: the request may have been executed,
    * and the connection is of no more use.
--- a/src/main/java/quotagateway/backend/BackendConnectionPool.java
+++ b/src/main/java/quotagateway/backend/BackendConnectionPool.java
@@ -195,7 +195,7 @@
   private void retireIdle() {
     double oldestMs = clock.now() - maxIdleMs;
     backends.values().forEach(backend -> backend.closeIdleSinceBefore(oldestMs));
-    backends.values().removeIf(BackendConnections::hasNoConnections);
+    backends.values().removeIf(BackendConnections::isDiscardable);
   }
 
   /** Makes room for a new connection; false where no idle one is to be had. */
--- a/src/main/java/quotagateway/backend/BackendConnections.java
+++ b/src/main/java/quotagateway/backend/BackendConnections.java
@@ -24,12 +24,22 @@
    */
   private static final double SETTLE_MS = 4;
 
+  /**
+   * For how long no connection is used again after the backend has sent more than its responses.
+   * What it sends in excess may come later than {@link #SETTLE_MS}, behind the next request, and
+   * then nothing distinguishes it from that request's response.
+   */
+  private static final double REUSE_SUSPENSION_MS = 10_000;
+
   private final MonotonicClock clock;
   private final IdleConnectionReuse reuse;
   private InetSocketAddress address;
   private long listedAddress;
   private double startedMs;
 
+  /** When the backend last sent more than its responses; negative infinity if it never did. */
+  private double excessAtMs = Double.NEGATIVE_INFINITY;
+
   /** Whether it drains or has left the endpoint list. */
   private boolean removed;
 
@@ -94,8 +104,13 @@
     openCount--;
   }
 
-  boolean hasNoConnections() {
-    return openCount == 0;
+  /** Whether nothing would be lost if this entry were made anew for the next attempt. */
+  boolean isDiscardable() {
+    return openCount == 0 && !isReuseSuspended();
+  }
+
+  private boolean isReuseSuspended() {
+    return clock.now() - excessAtMs < REUSE_SUSPENSION_MS;
   }
 
   /**
@@ -120,7 +135,7 @@
       }
       newestFirst.remove();
       connection.markUsed(now);
-      if (connection.isActive() && connection.idleSinceMs() >= now - maxIdleMs) {
+      if (connection.idleSinceMs() >= now - maxIdleMs && connection.isUsable()) {
         return connection;
       }
       connection.close();
@@ -147,7 +162,7 @@
 
   @Override
   public void connectionReusable(BackendConnection connection) {
-    if (!removed && address.equals(connection.address())) {
+    if (!removed && !isReuseSuspended() && address.equals(connection.address())) {
       connection.markIdle();
       idle.addLast(connection);
     } else {
@@ -155,6 +170,13 @@
     }
   }
 
+  /** Closes idle connections too: the same may be on its way on them. */
+  @Override
+  public void excessReceived() {
+    excessAtMs = clock.now();
+    PeriodicTask.forEachIsolated(idle, BackendConnection::close);
+  }
+
   @Override
   public void connectionClosed(BackendConnection connection) {
     idle.remove(connection);
--- a/src/main/java/quotagateway/transport/KernelSockets.java
+++ b/src/main/java/quotagateway/transport/KernelSockets.java
@@ -7,6 +7,7 @@
 import io.netty.channel.epoll.EpollSocketChannel;
 import io.netty.channel.unix.Socket;
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.util.Set;
 import java.util.logging.Logger;
 
@@ -22,11 +23,24 @@
   /** TCP_CLOSE, TCP_CLOSE_WAIT, TCP_LAST_ACK and TCP_CLOSING, as Linux numbers the states. */
   private static final Set<Integer> CLOSED_BY_PEER_STATES = Set.of(7, 8, 9, 11);
 
+  /** What a read of the native transport returns where nothing has come. */
+  private static final int WOULD_BLOCK = 0;
+
   /** Bytes of the longest address, as Netty encodes it, and of its length. */
   private static final int MAX_ENCODED_ADDRESS_BYTES = 26;
 
   private KernelSockets() {}
 
+  /** What of a connection may wait with the kernel to be read. */
+  public enum UnreadInput {
+    /** Nothing, or it is not known. */
+    NONE,
+    /** Bytes; the peer's close may be behind them. */
+    BYTES,
+    /** The peer's close, or a reset. */
+    END
+  }
+
   /**
    * For how long the newest bytes of a connection have been with the kernel, in milliseconds; 0
    * where that is not known. An event loop that is short of CPU reads late, and only the kernel
@@ -53,6 +67,27 @@
     }
   }
 
+  /**
+   * What the kernel holds of an open connection that has not been read here yet. A byte that it
+   * finds is consumed, so that the connection has to be closed unless there is nothing.
+   */
+  public static UnreadInput unreadInput(Channel channel) {
+    if (!(channel instanceof EpollSocketChannel connection)) {
+      return UnreadInput.NONE;
+    }
+    Socket socket = new Socket(connection.fd().intValue());
+    ByteBuffer firstByte = ByteBuffer.allocateDirect(1);
+    try {
+      int result = socket.recv(firstByte, 0, 1);
+      if (result == WOULD_BLOCK) {
+        return UnreadInput.NONE;
+      }
+      return result > 0 ? UnreadInput.BYTES : UnreadInput.END;
+    } catch (IOException e) {
+      return UnreadInput.END;
+    }
+  }
+
   /**
    * Closes a connection with a reset. One whose socket is closed is left alone, even if its
    * pipeline does not know yet: the option would fail, or be set on the socket that has its
--- a/src/test/java/quotagateway/backend/BackendConnectionPoolTest.java
+++ b/src/test/java/quotagateway/backend/BackendConnectionPoolTest.java
@@ -6,6 +6,7 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.junit.jupiter.api.Assumptions.assumeTrue;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
@@ -17,11 +18,13 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.channel.epoll.Epoll;
 import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -53,6 +56,7 @@
 
   private static final int FEW_BYTES = 4 * 1024;
   private static final double FOREVER = Double.POSITIVE_INFINITY;
+  private static final String EMPTY_RESPONSE = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
 
   private final EventLoopGroup group =
       new MultiThreadIoEventLoopGroup(1, SocketTransport.PREFERRED.ioHandler());
@@ -65,10 +69,14 @@
   }
 
   private BackendConnectionPool pool(int places, int port) {
+    return pool(new MonotonicClock(), places, port);
+  }
+
+  private BackendConnectionPool pool(MonotonicClock clock, int places, int port) {
     BackendConnectionPool pool =
         new BackendConnectionPool(
             loop,
-            new MonotonicClock(),
+            clock,
             Dialer.sockets(loop, 5_000),
             10_000,
             new ConnectionBudget(places),
@@ -428,11 +436,104 @@
     }
   }
 
+  /**
+   * A second copy of a response arrives while the event loop is busy, and the next request is
+   * started before the loop has read it. Written on that connection, the request would get the copy
+   * for its response, and its client another client's.
+   */
+  @Test
+  void connectionWithAnUnreadSecondResponseIsNotUsedAgain() throws Exception {
+    nextAttemptGetsANewConnectionAfter(
+        first -> {
+          OutputStream out = first.getOutputStream();
+          out.write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale".getBytes(US_ASCII));
+        });
+  }
+
+  /** The same where the backend has closed the connection: a request on it would be lost. */
+  @Test
+  void connectionWithAnUnreadCloseIsNotUsedAgain() throws Exception {
+    nextAttemptGetsANewConnectionAfter(Socket::close);
+  }
+
+  /** The same where the connection was reset, which leaves nothing to be read but an error. */
+  @Test
+  void connectionWithAnUnreadResetIsNotUsedAgain() throws Exception {
+    nextAttemptGetsANewConnectionAfter(
+        first -> {
+          first.setSoLinger(true, 0);
+          first.close();
+        });
+  }
+
+  /**
+   * A second copy of a response can come so late that the next request is out on the connection
+   * already, and is then taken for its response. A backend that has sent one gets each request on a
+   * connection of its own for a while.
+   */
+  @Test
+  void connectionsAreNotUsedAgainForAWhileAfterASecondResponse() throws Exception {
+    try (ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+      server.setSoTimeout(10_000);
+      BackendConnectionPool pool =
+          loop.submit(() -> pool(new MonotonicClock(nanos::get), 100, server.getLocalPort()))
+              .sync()
+              .getNow();
+      startAttempt(pool);
+      Socket sendsTwice = server.accept();
+      read(sendsTwice);
+      sendsTwice.getOutputStream().write((EMPTY_RESPONSE + EMPTY_RESPONSE).getBytes(US_ASCII));
+      assertEquals(Status.OK, TestQueues.next(ends));
+      for (int elapsedMs = 0; elapsedMs < 10_000; elapsedMs += 2_500) {
+        startAttempt(pool);
+        answer(server.accept());
+        nanos.addAndGet(TimeUnit.MILLISECONDS.toNanos(2_500));
+      }
+      startAttempt(pool);
+      Socket kept = server.accept();
+      answer(kept);
+      nanos.addAndGet(TimeUnit.MILLISECONDS.toNanos(50));
+      startAttempt(pool);
+      answer(kept);
+    }
+  }
+
+  private void startAttempt(BackendConnectionPool pool) {
+    loop.submit(() -> pool.start(1, attempt(5_000), FOREVER));
+  }
+
+  /** What a backend does on a connection between two attempts. */
+  private interface BackendAction {
+    void run(Socket connection) throws IOException;
+  }
+
+  private void nextAttemptGetsANewConnectionAfter(BackendAction action) throws Exception {
+    assumeTrue(Epoll.isAvailable(), "only there the kernel tells what has not been read");
+    try (ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+      server.setSoTimeout(10_000);
+      BackendConnectionPool pool =
+          loop.submit(() -> pool(new MonotonicClock(nanos::get), 100, server.getLocalPort()))
+              .sync()
+              .getNow();
+      startAttempt(pool);
+      Socket first = server.accept();
+      answer(first);
+      loop.submit(
+              () -> {
+                action.run(first);
+                nanos.addAndGet(TimeUnit.MILLISECONDS.toNanos(50));
+                pool.start(1, attempt(5_000), FOREVER);
+                return null;
+              })
+          .sync();
+      answer(server.accept());
+      assertTrue(ends.isEmpty(), "further ends of attempts");
+    }
+  }
+
   private void answer(Socket backend) throws Exception {
     read(backend);
-    backend
-        .getOutputStream()
-        .write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n".getBytes(US_ASCII));
+    backend.getOutputStream().write(EMPTY_RESPONSE.getBytes(US_ASCII));
     assertEquals(Status.OK, TestQueues.next(ends));
   }
 
