Drop counter replies that come in one read behind a malformed one

A customer could get another customer's total: a malformed reply ends its call and the channel, but the decoder passed on the other lines of the same read, and the next of them, which may be the reply to the call that has just ended, went to the call behind it.

--- a/src/main/java/quotagateway/counter/CounterConnection.java
+++ b/src/main/java/quotagateway/counter/CounterConnection.java
@@ -184,8 +184,15 @@
     opened.pipeline().addLast(lines, new CounterReplyHandler(this, lines, loop));
   }
 
-  /** A line has come: the reply to the first call that waits for one, or junk. */
+  /**
+   * A line has come: the reply to the first call that waits for one, or junk. Behind a malformed
+   * reply it is neither: the decoder passes on all lines of one read, and the next of them may be
+   * the reply to the call that has just ended.
+   */
   void onLine(String line) {
+    if (channel == null) {
+      return;
+    }
     lastLineAtMs = clock.now();
     CounterReply reply = CounterLineCodec.decodeReply(line);
     if (owed.isEmpty() || !fits(reply, owed.peekFirst())) {
--- a/src/test/java/quotagateway/counter/CounterConnectionTest.java
+++ b/src/test/java/quotagateway/counter/CounterConnectionTest.java
@@ -128,6 +128,19 @@
     assertTrue(connection.isOpen());
   }
 
+  /**
+   * A proper reply comes in one read with a malformed one before it. It may be the reply to the
+   * call that the malformed one ended; taken for the next one's, a customer would get another's
+   * total.
+   */
+  @Test
+  void ignoresRepliesBehindAMalformedOne() {
+    call("a");
+    call("b");
+    receive("what?\r\nok 5\r\n");
+    assertEquals(List.of("a MALFORMED_RESPONSE 0.0", "b RESET 0.0"), ends);
+  }
+
   /** The next reply would be added to such bytes, and its total misread. */
   @Test
   void endsTheChannelAtNoiseWithoutALineEnd() {
