Carry out one operators' call a connection, not a second one of the same read

A second call behind the first was carried out, though the response to the first ends the connection and the second gets none: an operator may drain a gateway without being told.

Same fault as with discovery's errors: the decoder goes on after the close was asked for.

--- a/src/main/java/quotagateway/admin/AdminServer.java
+++ b/src/main/java/quotagateway/admin/AdminServer.java
@@ -133,8 +133,16 @@
 
   /** Responds to one call, and closes its connection. */
   private final class CallHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
+
+    /** Whether the connection's one call has come: what follows gets no response. */
+    private boolean called;
+
     @Override
     protected void channelRead0(ChannelHandlerContext context, FullHttpRequest call) {
+      if (called) {
+        return;
+      }
+      called = true;
       HttpResponseStatus status =
           call.decoderResult().isFailure()
               ? HttpResponseStatus.BAD_REQUEST
--- a/src/main/java/quotagateway/discovery/WatchResponseHandler.java
+++ b/src/main/java/quotagateway/discovery/WatchResponseHandler.java
@@ -17,14 +17,20 @@
 
   private final DiscoveryWatch watch;
 
+  /** Whether the connection is being closed: nothing that still comes on it is to be used. */
+  private boolean closing;
+
   WatchResponseHandler(DiscoveryWatch watch) {
     this.watch = watch;
   }
 
   @Override
   protected void channelRead0(ChannelHandlerContext ctx, HttpObject part) {
+    if (closing) {
+      return;
+    }
     if (!isValid(part)) {
-      ctx.close();
+      close(ctx);
       return;
     }
     if (part instanceof HttpContent content && content.content().isReadable()) {
@@ -35,10 +41,19 @@
       watch.onResponse();
     }
     if (part instanceof LastHttpContent) {
-      ctx.close();
+      close(ctx);
     }
   }
 
+  /**
+   * Closes the connection. Prevents the rest of a read from being used: the decoder passes on all
+   * parts of it, whether or not the channel was closed at one of them.
+   */
+  private void close(ChannelHandlerContext ctx) {
+    closing = true;
+    ctx.close();
+  }
+
   private static boolean isValid(HttpObject part) {
     if (!part.decoderResult().isSuccess()) {
       return false;
--- a/src/test/java/quotagateway/server/AdminServerTest.java
+++ b/src/test/java/quotagateway/server/AdminServerTest.java
@@ -137,6 +137,20 @@
     assertEquals(200, fixture.client().ask(UP).status(), "half a call moves nothing");
   }
 
+  /**
+   * A second call comes in one read with the first, whose response ends the connection. Carried out
+   * without a response, it would drain a gateway whose operator has to take it for not called.
+   */
+  @Test
+  void aCallBehindTheFirstIsNotCarriedOut() throws Exception {
+    fixture.start();
+    TestClient caller = fixture.operator();
+    caller.send("GET /ready HTTP/1.1\r\nHost: x\r\n\r\nPOST /drain HTTP/1.1\r\nHost: x\r\n\r\n");
+    assertEquals(200, caller.receive().status());
+    assertTrue(caller.ended());
+    assertEquals(200, fixture.operator("GET /ready"));
+  }
+
   @Test
   void unknownPathsAndMethodsAreRejected() throws Exception {
     fixture.start();
