Reset the connection of a client that reads nothing of its streamed response

A client of HTTP/1.0 that paused for 30 s took a part of a response without a length for all of it: the gateway gave the response up by a plain close, which is the response's end in that framing.

Suspected by reading, shown by StalledClientTest in time that the test advances: red before (nothing thrown), green with the reset, which is an end in no framing.

--- a/src/main/java/quotagateway/client/ConnectionTimeouts.java
+++ b/src/main/java/quotagateway/client/ConnectionTimeouts.java
@@ -97,7 +97,7 @@
     boolean exchangeOpen = activity.exchangeOpen();
     InboundRequest receiving = assembler.receiving();
     if (writer.stalledTooLong(nowMs)) {
-      closer.closeAtOnce();
+      closer.reset();
     } else if (receiving != null && (!exchangeOpen || receiving.accepted())) {
       assembler.checkBodyProgress(nowMs, requestStartedAtMs());
     } else if (!exchangeOpen && assembler.receivesRequest()) {
