Admit as many open requests as MaxOpen allows, not one less

A gateway rejected a request by 503 while one less was open than the settings allow: the newest was counted before the limit was asked. Where MaxOpen is 1 it rejected all.

Suspected by reading; test red before (the second of two rejected).

--- a/src/main/java/quotagateway/policy/GatewayPolicy.java
+++ b/src/main/java/quotagateway/policy/GatewayPolicy.java
@@ -196,7 +196,7 @@
   }
 
   private void admit(OpenRequest request) {
-    if (openRequests.size() >= context.settings().capabilities().maxOpenRequests()
+    if (openRequests.size() > context.settings().capabilities().maxOpenRequests()
         || isLastCheck(request)
         || loadShedder.isOverloaded(request.quota.priorityWeight())) {
       openRequests.reject(request, 0);
--- a/src/main/java/quotagateway/policy/settings/Capabilities.java
+++ b/src/main/java/quotagateway/policy/settings/Capabilities.java
@@ -8,7 +8,7 @@
  * @param cancellation whether an attempt may be cancelled
  * @param hedging whether a second attempt may run beside the first
  * @param maxAttempts attempts for one request, the first included
- * @param maxOpenRequests with so many requests open, the newest included, that one is rejected
+ * @param maxOpenRequests how many requests may be open; one that comes beyond that is rejected
  * @param retryAfter whether a rejection may carry advice on when to come back
  * @param maxRetryAfterMs the longest such advice
  * @param pollsDiscovery whether the endpoint list has to be asked for, as it is not pushed
--- a/src/test/java/quotagateway/policy/GatewayPolicyTest.java
+++ b/src/test/java/quotagateway/policy/GatewayPolicyTest.java
@@ -611,6 +611,42 @@
     assertTrue(f.did(RejectRequest.class));
   }
 
+  /** The newest request was counted before it was asked for, so one less was open than may be. */
+  @Test
+  void asManyRequestsAreOpenAsTheSettingsAllow() {
+    PolicyFixture f = new PolicyFixture(withMaxOpen(PolicyFixture.settings(true, 2, false), 2));
+    f.backends(4);
+    f.request("safe", "free", 1);
+    f.request("safe", "free", 1);
+    assertTrue(f.did(StartAttempt.class), "the second of two");
+    f.request("safe", "free", 1);
+    assertTrue(f.did(RejectRequest.class), "the third of two");
+  }
+
+  private static PolicySettings withMaxOpen(PolicySettings s, int maxOpenRequests) {
+    Capabilities a = s.capabilities();
+    return new PolicySettings(
+        s.gatewayCount(),
+        s.gatewayIndex(),
+        s.zone(),
+        s.maxRequestUnits(),
+        s.crossZonePrice(),
+        s.endpointWeightsTold(),
+        s.requestClasses(),
+        s.plans(),
+        new Capabilities(
+            a.sharedCounter(),
+            a.counterTimeoutMs(),
+            a.cancellation(),
+            a.hedging(),
+            a.maxAttempts(),
+            maxOpenRequests,
+            a.retryAfter(),
+            a.maxRetryAfterMs(),
+            a.pollsDiscovery()),
+        s.rules());
+  }
+
   @Test
   void anEndpointListThatIsPolledIsWatchedAndAskedForAgain() {
     PolicyFixture f = new PolicyFixture(PolicyFixture.settings(true, 2, true));
