Count attempts from before an ejection as the one fault that they belong to

A backend that fell for an instant with many attempts in flight was out for up to eight seconds: each of them that failed after the ejection ejected it again and doubled the time.

Suspected by reading; test red before (ejected a second longer, twice counted).

--- a/src/main/java/quotagateway/policy/routing/BackendRouter.java
+++ b/src/main/java/quotagateway/policy/routing/BackendRouter.java
@@ -147,7 +147,7 @@
       if (status == Status.CONNECT_FAILED) {
         restarts.recordConnectFailure(backend);
       }
-      outliers.ejectIfFailing(backend);
+      outliers.ejectIfFailing(backend, attempt);
     }
   }
 
--- a/src/main/java/quotagateway/policy/routing/OutlierDetector.java
+++ b/src/main/java/quotagateway/policy/routing/OutlierDetector.java
@@ -77,10 +77,14 @@
   }
 
   /**
-   * Ejects a backend after a failure, if it fails too often, or while half-open: as its probe, or
-   * as an attempt from before the ejection.
+   * Ejects a backend after a failed attempt, if it fails too often, or where the attempt was its
+   * half-open probe. An attempt from before the end of the last ejection is neither: it tells of
+   * the fault for which the backend was ejected.
    */
-  void ejectIfFailing(BackendStatus backend) {
+  void ejectIfFailing(BackendStatus backend, AttemptRecord attempt) {
+    if (attempt.sentAtMs() < backend.ejectedUntilMs) {
+      return;
+    }
     if (backend.failureShare > MAX_FAILURE_SHARE || backend.halfOpen) {
       double ejectionMs = EJECTION_MS * (1 << Math.min(backend.ejections, MAX_DOUBLINGS));
       double jitter = 1 + EJECTION_JITTER * context.nextRandom();
--- a/src/test/java/quotagateway/policy/routing/OutlierDetectorTest.java
+++ b/src/test/java/quotagateway/policy/routing/OutlierDetectorTest.java
@@ -71,6 +71,21 @@
     assertEquals(2, backend.ejections);
   }
 
+  // A backend that falls with many attempts in flight was taken for one that fails again with each
+  // of them, and was out for up to eight seconds after a fault of an instant.
+  @Test
+  void countsAttemptsFromBeforeTheEjectionAsOneFault() {
+    AttemptRecord inFlight = fixture.attemptAt(backend);
+    fixture.pass(100);
+    fixture.fail(backend, 3);
+    double ejectedUntilMs = backend.ejectedUntilMs;
+    fixture.pass(50);
+    outliers.recordSample(backend, true, 1);
+    outliers.ejectIfFailing(backend, inFlight);
+    assertEquals(ejectedUntilMs, backend.ejectedUntilMs);
+    assertEquals(1, backend.ejections);
+  }
+
   // The ejections in a row are over only once the backend has answered for a while.
   @Test
   void closesAfterASuccessAndForgetsEjectionsOnceTheShareIsLow() {
--- a/src/test/java/quotagateway/policy/routing/RoutingFixture.java
+++ b/src/test/java/quotagateway/policy/routing/RoutingFixture.java
@@ -90,7 +90,7 @@
   void fail(BackendStatus backend, int times) {
     for (int i = 0; i < times; i++) {
       outliers.recordSample(backend, true, 1);
-      outliers.ejectIfFailing(backend);
+      outliers.ejectIfFailing(backend, new AttemptRecord(0, backend, context.nowMs()));
     }
   }
 }
