Reject a half-received request by 503 when another client needs its place

While clients crowded, a client in the middle of its request saw its connection end without a word: it had to take the request for lost if its last bytes crossed the end, and could not know that trying again is harmless.

Cause: the connection that is evicted was closed as an idle one. Test red before (end of stream). The response goes out without the lingering of other errors, so the place is free at once.

--- a/src/main/java/quotagateway/client/ClientConnections.java
+++ b/src/main/java/quotagateway/client/ClientConnections.java
@@ -83,7 +83,7 @@
       }
     }
     if (oldest != null) {
-      oldest.closer().closeIfIdle();
+      oldest.closer().closeForAnother();
     }
   }
 
--- a/src/main/java/quotagateway/client/ConnectionCloser.java
+++ b/src/main/java/quotagateway/client/ConnectionCloser.java
@@ -80,6 +80,23 @@
     }
   }
 
+  /**
+   * Another client needs the place of this connection. One that is half received is rejected, so
+   * that its client may send it again; without the lingering of other errors, as the place is
+   * needed now.
+   */
+  void closeForAnother() {
+    if (requests.idle() && !closing && assembler.receivesRequest()) {
+      closing = true;
+      requests.discardRequests();
+      writer
+          .writeFinalError(HttpResponseStatus.SERVICE_UNAVAILABLE, "too many connections")
+          .addListener(ChannelFutureListener.CLOSE);
+    } else {
+      closeIfIdle();
+    }
+  }
+
   /**
    * The process ends. Prevents a request that is read after the shutdown and never answered: what
    * is half received is rejected, as nobody will read the rest of it.
--- a/src/test/java/quotagateway/server/MisbehavingClientTest.java
+++ b/src/test/java/quotagateway/server/MisbehavingClientTest.java
@@ -84,6 +84,25 @@
     assertEquals("close", answer.header("Connection"));
   }
 
+  /**
+   * A slow client has sent half of its request when another needs its place. Closed without a
+   * response, it would have to take its request for lost.
+   */
+  @Test
+  void halfReceivedRequestIsRejectedWhenItsPlaceIsTaken() throws Exception {
+    fixture.start(fixture.smallConfig());
+    String half = TestRequests.get("half", 3000).substring(0, 20);
+    TestClient slow = fixture.client();
+    slow.send(half);
+    for (int i = 1; i < PLACES; i++) {
+      fixture.client().send(half);
+    }
+    TimeUnit.MILLISECONDS.sleep(500);
+    fixture.client();
+    assertEquals(503, slow.receive().status());
+    assertTrue(slow.ended());
+  }
+
   /**
    * Clients connect, send nothing and stay, as many as there are places. Once they have been silent
    * for a while, the oldest is evicted for a new one: that one may still be rejected, as the
