--- a/src/test/java/quotagateway/scale/ProgramProcess.java
+++ b/src/test/java/quotagateway/scale/ProgramProcess.java
@@ -1,29 +1,19 @@
 package quotagateway.scale;
 
 import java.io.Closeable;
-import java.io.File;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
-import java.util.Arrays;
-import java.util.List;
-import java.util.concurrent.TimeUnit;
-import java.util.stream.Collectors;
+import java.util.Map;
+import quotagateway.testing.GatewayProcess;
 
 /** The real gateway as a process of its own, started with the options of deploy/balancer.toml. */
 final class ProgramProcess implements Closeable {
 
-  /** The kernel's clock ticks in /proc/PID/stat. */
-  private static final double MS_PER_TICK = 10;
-
-  private static final int USER_TICKS = 13;
-  private static final int SYSTEM_TICKS = 14;
-
-  private final Process process;
+  private final GatewayProcess process;
   private final Path folder;
   private final InetSocketAddress listen;
 
@@ -33,17 +23,11 @@
     listen = new InetSocketAddress(InetAddress.getLoopbackAddress(), freePort());
     Path config = folder.resolve("config.json");
     Files.writeString(config, config(agentPort));
-    List<String> command = new ArrayList<>();
-    command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
-    command.addAll(options());
-    command.add("-Djava.io.tmpdir=" + folder);
-    command.add("-cp");
-    command.add(programClasses + File.pathSeparator + libraries());
-    command.addAll(List.of("quotagateway.Main", "serve"));
-    ProcessBuilder builder = new ProcessBuilder(command);
-    builder.environment().put("GW_CONFIG", config.toString());
-    builder.redirectErrorStream(true).redirectOutput(folder.resolve("log").toFile());
-    process = builder.start();
+    process =
+        new GatewayProcess(
+            GatewayProcess.commandOf(programClasses, folder),
+            Map.of("GW_CONFIG", config.toString()),
+            folder.resolve("log"));
   }
 
   private static int freePort() throws IOException {
@@ -52,25 +36,6 @@
     }
   }
 
-  /** The options of the run line, but for those that name files of a deployed copy. */
-  private static List<String> options() throws IOException {
-    String run =
-        Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
-            .filter(line -> line.startsWith("run"))
-            .findFirst()
-            .orElse("");
-    return Arrays.stream(run.split(" "))
-        .filter(word -> word.startsWith("-X") || word.startsWith("-D"))
-        .filter(word -> !word.contains("SharedArchiveFile") && !word.contains("tmpdir"))
-        .toList();
-  }
-
-  private static String libraries() {
-    return Arrays.stream(System.getProperty("java.class.path").split(File.pathSeparator))
-        .filter(path -> path.endsWith(".jar"))
-        .collect(Collectors.joining(File.pathSeparator));
-  }
-
   private String config(int agentPort) {
     return """
         {"name":"n0","listen":"127.0.0.1:%d","discovery":"127.0.0.1:%d","seed":"1",
@@ -95,32 +60,19 @@
     return process.isAlive();
   }
 
-  /** Processor time of the process until now, in milliseconds, to a hundredth of a second. */
+  /** Processor time of the process until now, in milliseconds. */
   double cpuMs() throws IOException {
-    String stat = Files.readString(Path.of("/proc", Long.toString(process.pid()), "stat"));
-    String[] fields = stat.substring(stat.lastIndexOf(')')).split(" ", -1);
-    // The name, which may hold spaces, and the number before it are cut off.
-    return MS_PER_TICK
-        * (Long.parseLong(fields[USER_TICKS - 1]) + Long.parseLong(fields[SYSTEM_TICKS - 1]));
+    return process.cpuMs();
   }
 
   /** The most memory that it had at a time, in MiB. */
   double peakMemoryMb() throws IOException {
-    return Files.readAllLines(Path.of("/proc", Long.toString(process.pid()), "status")).stream()
-        .filter(line -> line.startsWith("VmHWM"))
-        .mapToDouble(line -> Double.parseDouble(line.replaceAll("[^0-9]", "")) / 1024)
-        .findFirst()
-        .orElse(Double.NaN);
+    return process.peakMemoryMb();
   }
 
   @Override
   public void close() throws IOException {
-    process.destroyForcibly();
-    try {
-      process.waitFor(10, TimeUnit.SECONDS);
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
+    process.close();
     try (var files = Files.list(folder)) {
       for (Path file : files.toList()) {
         Files.deleteIfExists(file);
--- a/src/test/java/quotagateway/scale/ProgramSweep.java
+++ b/src/test/java/quotagateway/scale/ProgramSweep.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 import quotagateway.endpoint.EndpointState;
+import quotagateway.testing.DiscoveryAgent;
 
 /**
  * The real gateway, started with the options of the run line, and an agent with a list of each
--- a/src/test/java/quotagateway/scale/ScaleTest.java
+++ b/src/test/java/quotagateway/scale/ScaleTest.java
@@ -29,6 +29,7 @@
 import quotagateway.endpoint.EndpointState;
 import quotagateway.policy.event.EndpointsUpdated;
 import quotagateway.policy.event.Status;
+import quotagateway.testing.DiscoveryAgent;
 import quotagateway.testing.WireFormats;
 
 /**
--- /dev/null
+++ b/src/test/java/quotagateway/soak/HistoryChecker.java
@@ -0,0 +1,172 @@
+package quotagateway.soak;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** Checks the rules of the service on a run's history. */
+final class HistoryChecker {
+
+  /** After this, and the slack, an attempt for a client that has gone is a break. */
+  private static final double AFTER_CLIENT_LEFT_MS = 150;
+
+  /** A gateway may close a connection that has been idle for so long. */
+  private static final double MAY_CLOSE_IDLE_MS = 2_000;
+
+  /** A stand-in that ran later than this cannot tell when something happened. */
+  private static final double MAX_LATENESS_MS = 40;
+
+  /** What a run gives beside its history. */
+  interface Circumstances {
+
+    /** Whether a gateway drained or ended at that time. */
+    boolean wasLeaving(int gateway, double timeMs);
+
+    /** When each backend was closed to requests. */
+    List<SoakDiscovery.ClosedSpan> closedSpans();
+
+    /** Whether idle clients fill the descriptors. */
+    boolean crowded();
+  }
+
+  private final History history;
+  private final Circumstances circumstances;
+  private final List<Violation> violations = new ArrayList<>();
+  private int checks;
+  private int voided;
+
+  HistoryChecker(History history, Circumstances circumstances) {
+    this.history = history;
+    this.circumstances = circumstances;
+  }
+
+  /** How many checks were made. */
+  int checks() {
+    return checks;
+  }
+
+  /** How many of them say nothing, as a stand-in itself ran late. */
+  int voided() {
+    return voided;
+  }
+
+  /** Checks all requests. */
+  List<Violation> check() {
+    history.requests().forEach(this::checkRequest);
+    return violations;
+  }
+
+  private void checkRequest(String id, History.Sent sent) {
+    List<HistoryEvent> events = history.of(id);
+    checkOwnResponse(id, events);
+    checkFinalResponse(id, sent, events);
+    checkExecutions(id, sent, events);
+    checkAfterClientLeft(id, events);
+    checkClosedBackends(id, events);
+  }
+
+  private void checkOwnResponse(String id, List<HistoryEvent> events) {
+    checks++;
+    if (first(events, HistoryEvent.Kind.FOREIGN_RESPONSE) != null) {
+      report("response of another request", id, events);
+    }
+  }
+
+  /** Each request whose client stays gets its response in time, if the gateway has taken it. */
+  private void checkFinalResponse(String id, History.Sent sent, List<HistoryEvent> events) {
+    HistoryEvent written = first(events, HistoryEvent.Kind.SENT);
+    if (written == null || first(events, HistoryEvent.Kind.CLIENT_LEFT) != null) {
+      return;
+    }
+    checks++;
+    HistoryEvent answered = first(events, HistoryEvent.Kind.ANSWERED);
+    HistoryEvent ended = first(events, HistoryEvent.Kind.ENDED_UNANSWERED);
+    double dueAtMs = written.timeMs() + sent.timeoutMs() + SoakClient.SLACK_MS;
+    if (first(events, HistoryEvent.Kind.NO_RESPONSE) != null) {
+      reportUnlessLate("no response", id, events, written.timeMs(), dueAtMs);
+    } else if (answered != null && answered.timeMs() > dueAtMs) {
+      reportUnlessLate("late response", id, events, written.timeMs(), answered.timeMs());
+    } else if (ended != null && first(events, HistoryEvent.Kind.EXECUTED) != null) {
+      report("lost after it was forwarded", id, events);
+    } else if (ended != null && !mayEndUnanswered(sent, ended)) {
+      report("connection closed without a response", id, events);
+    }
+  }
+
+  /** Whether the gateway may have closed the connection before it read the request. */
+  private boolean mayEndUnanswered(History.Sent sent, HistoryEvent ended) {
+    boolean behindLastResponse = ended.detail().startsWith("behind");
+    boolean shutInCrowd = circumstances.crowded() && sent.first();
+    return behindLastResponse
+        || shutInCrowd
+        || sent.idleMs() >= MAY_CLOSE_IDLE_MS
+        || circumstances.wasLeaving(sent.gateway(), ended.timeMs());
+  }
+
+  private void checkExecutions(String id, History.Sent sent, List<HistoryEvent> events) {
+    checks++;
+    long executions =
+        events.stream().filter(event -> event.kind() == HistoryEvent.Kind.EXECUTED).count();
+    if (sent.kind() == RequestKind.NOT_IDEMPOTENT && executions > 1) {
+      report("executed " + executions + " times", id, events);
+    }
+  }
+
+  private void checkAfterClientLeft(String id, List<HistoryEvent> events) {
+    HistoryEvent left = first(events, HistoryEvent.Kind.CLIENT_LEFT);
+    if (left == null) {
+      return;
+    }
+    checks++;
+    for (HistoryEvent event : events) {
+      if (isAttempt(event) && event.timeMs() > left.timeMs() + AFTER_CLIENT_LEFT_MS) {
+        reportUnlessLate(
+            "attempt after its client left", id, events, left.timeMs(), event.timeMs());
+      }
+    }
+  }
+
+  private void checkClosedBackends(String id, List<HistoryEvent> events) {
+    for (HistoryEvent event : events) {
+      if (!isAttempt(event)) {
+        continue;
+      }
+      checks++;
+      for (SoakDiscovery.ClosedSpan span : circumstances.closedSpans()) {
+        boolean within = event.timeMs() > span.fromMs() && event.timeMs() < span.untilMs();
+        if (within && event.peer().equals("backend-" + span.backend())) {
+          reportUnlessLate(
+              "attempt at a backend that drains or is gone",
+              id,
+              events,
+              span.fromMs(),
+              event.timeMs());
+        }
+      }
+    }
+  }
+
+  private static boolean isAttempt(HistoryEvent event) {
+    return event.kind() == HistoryEvent.Kind.EXECUTED
+        || event.kind() == HistoryEvent.Kind.NOT_EXECUTED;
+  }
+
+  private static HistoryEvent first(List<HistoryEvent> events, HistoryEvent.Kind kind) {
+    return events.stream().filter(event -> event.kind() == kind).findFirst().orElse(null);
+  }
+
+  private void reportUnlessLate(
+      String rule, String id, List<HistoryEvent> events, double fromMs, double toMs) {
+    if (history.lateness().mostBetween(fromMs, toMs) > MAX_LATENESS_MS) {
+      voided++;
+    } else {
+      report(rule, id, events);
+    }
+  }
+
+  private void report(String rule, String id, List<HistoryEvent> events) {
+    List<String> lines = new ArrayList<>();
+    lines.add(String.valueOf(history.requests().get(id)));
+    events.forEach(event -> lines.add(event.toString()));
+    violations.add(new Violation(rule, id, lines));
+  }
+}
--- /dev/null
+++ b/src/test/java/quotagateway/soak/SoakDiscovery.java
@@ -0,0 +1,137 @@
+package quotagateway.soak;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import quotagateway.testing.DiscoveryAgent;
+import quotagateway.testing.EndpointListJson;
+
+/**
+ * Discovery's agent with the list of backends, and since when each of them counts as notified to be
+ * closed to new requests. Changes come from the thread that plays the plan.
+ */
+final class SoakDiscovery implements Closeable {
+
+  /** A change counts as notified at the latest this long after discovery had it. */
+  private static final double NOTIFIED_AFTER_MS = 6_000;
+
+  /** The gateways start with this version of the list. */
+  static final int FIRST_VERSION = 7;
+
+  private final History history;
+  private final Map<Integer, Integer> ports = new TreeMap<>();
+  private final Map<Integer, String> states = new TreeMap<>();
+
+  /** Since when requests to a backend break the rule, by its number; absent while it serves. */
+  private final Map<Integer, Double> closedFromMs = new ConcurrentHashMap<>();
+
+  /** Spans in which a backend was closed, that are over. */
+  private final List<ClosedSpan> closedSpans = new ArrayList<>();
+
+  private final DiscoveryAgent agent;
+  private int version = FIRST_VERSION;
+
+  /** When a backend was closed to requests. */
+  record ClosedSpan(int backend, double fromMs, double untilMs) {}
+
+  SoakDiscovery(History history, List<SoakBackend> backends) throws IOException {
+    this.history = history;
+    for (int i = 0; i < backends.size(); i++) {
+      ports.put(i, backends.get(i).port());
+      states.put(i, "active");
+    }
+    agent = new DiscoveryAgent(wholeList() + "\n", version);
+  }
+
+  int port() {
+    return agent.port();
+  }
+
+  /** The list of those that are not left out, in discovery's form. */
+  String wholeList() {
+    String[] entries =
+        states.entrySet().stream()
+            .filter(backend -> !backend.getValue().equals("left"))
+            .map(backend -> entry(backend.getKey()))
+            .toArray(String[]::new);
+    return EndpointListJson.list(version, true, entries);
+  }
+
+  private String entry(int backend) {
+    return EndpointListJson.entry("s-" + backend, ports.get(backend), states.get(backend));
+  }
+
+  /** How many backends serve. */
+  int serving() {
+    return (int) states.values().stream().filter("active"::equals).count();
+  }
+
+  boolean serves(int backend) {
+    return states.get(backend).equals("active");
+  }
+
+  /** Tells all watches that a backend drains or serves. */
+  void change(int backend, String state) {
+    set(backend, state);
+    agent.become(wholeList() + "\n", version);
+    agent.tell(EndpointListJson.list(version, false, entry(backend)) + "\n");
+  }
+
+  /** Ends all watches; the next ones get a whole list without that backend. */
+  void leaveOut(int backend) {
+    set(backend, "left");
+    agent.become(wholeList() + "\n", version);
+    agent.endWatches();
+  }
+
+  private void set(int backend, String state) {
+    version++;
+    states.put(backend, state);
+    if (state.equals("active")) {
+      Double from = closedFromMs.remove(backend);
+      if (from != null) {
+        closedSpans.add(new ClosedSpan(backend, from, history.nowMs()));
+      }
+    } else {
+      closedFromMs.putIfAbsent(backend, history.nowMs() + NOTIFIED_AFTER_MS);
+    }
+  }
+
+  /** All spans in which requests to a backend break the rule. */
+  List<ClosedSpan> closedSpans() {
+    List<ClosedSpan> spans = new ArrayList<>(closedSpans);
+    closedFromMs.forEach(
+        (backend, from) -> spans.add(new ClosedSpan(backend, from, Double.POSITIVE_INFINITY)));
+    return spans;
+  }
+
+  /** The open watches fall silent for good, and new ones get no answer while it lasts. */
+  void silence(boolean now) {
+    if (now) {
+      agent.abandonWatches();
+    }
+    agent.silence(now);
+    postponeNotification();
+  }
+
+  /** Watches end, and new ones are answered by errors while it lasts. */
+  void fail(boolean now) {
+    agent.fail(now);
+    postponeNotification();
+  }
+
+  /** What discovery could not be asked for counts as notified 6 s after it can be again. */
+  private void postponeNotification() {
+    closedFromMs.replaceAll(
+        (backend, from) -> from > history.nowMs() ? history.nowMs() + NOTIFIED_AFTER_MS : from);
+  }
+
+  @Override
+  public void close() throws IOException {
+    agent.close();
+  }
+}
--- a/src/test/java/quotagateway/testing/DiscoveryAgent.java
+++ b/src/test/java/quotagateway/testing/DiscoveryAgent.java
@@ -1,4 +1,4 @@
-package quotagateway.scale;
+package quotagateway.testing;
 
 import java.io.BufferedReader;
 import java.io.Closeable;
@@ -22,7 +22,7 @@
  * whole list first, unless it has that version, and then each change. It may fall silent, cut a
  * message, or end watches.
  */
-final class DiscoveryAgent implements Closeable {
+public final class DiscoveryAgent implements Closeable {
 
   private static final int CHUNK = 64 * 1024;
   private static final long HEARTBEAT_MS = 2_000;
@@ -31,14 +31,16 @@
   private final ScheduledExecutorService heartbeats =
       Executors.newSingleThreadScheduledExecutor(DiscoveryAgent::daemon);
   private final List<Watch> watches = new CopyOnWriteArrayList<>();
+  private final List<Watch> abandoned = new CopyOnWriteArrayList<>();
   private final AtomicInteger opened = new AtomicInteger();
   private final AtomicLong bytes = new AtomicLong();
   private volatile byte[] whole;
   private volatile long version;
   private volatile boolean silent;
+  private volatile boolean failing;
 
   /** Listens at a port of its own with that whole list. */
-  DiscoveryAgent(String whole, long version) throws IOException {
+  public DiscoveryAgent(String whole, long version) throws IOException {
     become(whole, version);
     server = new ServerSocket(0, 16, InetAddress.getLoopbackAddress());
     daemon(this::accept).start();
@@ -50,39 +52,39 @@
         TimeUnit.MILLISECONDS);
   }
 
-  int port() {
+  public int port() {
     return server.getLocalPort();
   }
 
   /** Watches that were opened, all told. */
-  int opened() {
+  public int opened() {
     return opened.get();
   }
 
   /** Watches that are open and have been told the list. */
-  int watching() {
+  public int watching() {
     return watches.size();
   }
 
   /** Bytes of messages written, all told. */
-  long bytes() {
+  public long bytes() {
     return bytes.get();
   }
 
   /** Replaces the list that later watches are told first. */
-  void become(String list, long ofVersion) {
+  public void become(String list, long ofVersion) {
     whole = list.getBytes(StandardCharsets.UTF_8);
     version = ofVersion;
   }
 
   /** Tells all watches one message. */
-  void tell(String message) {
+  public void tell(String message) {
     byte[] told = message.getBytes(StandardCharsets.UTF_8);
     watches.forEach(w -> w.write(told, told.length));
   }
 
   /** Tells the first bytes of a message and ends the watches. */
-  void cut(String message, int after) {
+  public void cut(String message, int after) {
     byte[] told = message.getBytes(StandardCharsets.UTF_8);
     watches.forEach(
         w -> {
@@ -92,15 +94,35 @@
   }
 
   /** While silent, nothing is told, no heartbeat either, and new watches get no answer. */
-  void silence(boolean now) {
+  public void silence(boolean now) {
     silent = now;
   }
 
+  /** Ends all watches. */
+  public void endWatches() {
+    watches.forEach(Watch::close);
+  }
+
+  /** Leaves all watches open and never tells them anything again. */
+  public void abandonWatches() {
+    abandoned.addAll(watches);
+    watches.clear();
+  }
+
+  /** While failing, watches are ended, and new ones are answered by an error with this list. */
+  public void fail(boolean now) {
+    failing = now;
+    if (now) {
+      endWatches();
+    }
+  }
+
   @Override
   public void close() throws IOException {
     heartbeats.shutdownNow();
     server.close();
-    watches.forEach(Watch::close);
+    endWatches();
+    abandoned.forEach(Watch::close);
   }
 
   private static Thread daemon(Runnable work) {
@@ -131,6 +153,10 @@
         return;
       }
       Watch watch = new Watch(socket, socket.getOutputStream());
+      if (failing) {
+        watch.error();
+        return;
+      }
       watch.head();
       if (!request.contains("index=" + version + ' ')) {
         watch.write(whole, whole.length);
@@ -152,12 +178,22 @@
     }
 
     void head() throws IOException {
-      out.write(
-          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-              .getBytes(StandardCharsets.US_ASCII));
+      out.write(head("200 OK").getBytes(StandardCharsets.US_ASCII));
+      out.flush();
+    }
+
+    /** An error whose body is a list without any backend, in one write with its head. */
+    void error() throws IOException {
+      String list = EndpointListJson.list((int) version + 1, true) + "\n";
+      String response = head("503 Service Unavailable") + FakeDiscovery.chunk(list) + "0\r\n\r\n";
+      out.write(response.getBytes(StandardCharsets.US_ASCII));
       out.flush();
     }
 
+    private static String head(String status) {
+      return "HTTP/1.1 " + status + "\r\nTransfer-Encoding: chunked\r\n\r\n";
+    }
+
     synchronized void write(byte[] message, int length) {
       if (silent) {
         return;
