--- a/src/test/java/quotagateway/soak/HistoryChecker.java
+++ b/src/test/java/quotagateway/soak/HistoryChecker.java
@@ -12,6 +12,13 @@
   /** A gateway may close a connection that has been idle for so long. */
   private static final double MAY_CLOSE_IDLE_MS = 2_000;
 
+  /**
+   * A gateway that can be reached and has backends must not reject all that it gets for so long.
+   */
+  private static final double MAX_REJECTING_MS = 1_000;
+
+  private static final int MIN_REJECTIONS = 15;
+
   /** A stand-in that ran later than this cannot tell when something happened. */
   private static final double MAX_LATENESS_MS = 40;
 
@@ -21,6 +28,12 @@
     /** Whether a gateway drained or ended at that time. */
     boolean wasLeaving(int gateway, double timeMs);
 
+    /**
+     * Whether a gateway was killed outright at that time: its requests are their clients' to
+     * repeat.
+     */
+    boolean wasKilled(int gateway, double timeMs);
+
     /** When each backend was closed to requests. */
     List<SoakDiscovery.ClosedSpan> closedSpans();
 
@@ -52,6 +65,7 @@
   /** Checks all requests. */
   List<Violation> check() {
     history.requests().forEach(this::checkRequest);
+    checkRejections();
     return violations;
   }
 
@@ -85,6 +99,8 @@
       reportUnlessLate("no response", id, events, written.timeMs(), dueAtMs);
     } else if (answered != null && answered.timeMs() > dueAtMs) {
       reportUnlessLate("late response", id, events, written.timeMs(), answered.timeMs());
+    } else if (ended != null && circumstances.wasKilled(sent.gateway(), ended.timeMs())) {
+      return;
     } else if (ended != null && first(events, HistoryEvent.Kind.EXECUTED) != null) {
       report("lost after it was forwarded", id, events);
     } else if (ended != null && !mayEndUnanswered(sent, ended)) {
@@ -145,6 +161,22 @@
     }
   }
 
+  private void checkRejections() {
+    RejectionSpans rejections = new RejectionSpans();
+    history.requests().forEach((id, sent) -> rejections.add(sent, history.of(id)));
+    checks++;
+    for (RejectionSpans.Span span : rejections.longerThan(MAX_REJECTING_MS, MIN_REJECTIONS)) {
+      boolean excused =
+          circumstances.crowded()
+              || circumstances.wasLeaving(span.gateway(), span.fromMs())
+              || circumstances.wasLeaving(span.gateway(), span.untilMs());
+      if (!excused) {
+        violations.add(
+            new Violation("rejects all", "gateway " + span.gateway(), List.of(span.toString())));
+      }
+    }
+  }
+
   private static boolean isAttempt(HistoryEvent event) {
     return event.kind() == HistoryEvent.Kind.EXECUTED
         || event.kind() == HistoryEvent.Kind.NOT_EXECUTED;
--- a/src/test/java/quotagateway/soak/HistoryCheckerTest.java
+++ b/src/test/java/quotagateway/soak/HistoryCheckerTest.java
@@ -13,6 +13,7 @@
 
   private final History history = new History();
   private boolean leaving;
+  private boolean killed;
   private List<SoakDiscovery.ClosedSpan> closedSpans = List.of();
 
   private final HistoryChecker checker =
@@ -24,6 +25,11 @@
               return leaving;
             }
 
+            @Override
+            public boolean wasKilled(int gateway, double timeMs) {
+              return killed;
+            }
+
             @Override
             public List<SoakDiscovery.ClosedSpan> closedSpans() {
               return closedSpans;
@@ -90,6 +96,17 @@
     assertEquals(List.of("lost after it was forwarded"), brokenRules());
   }
 
+  @Test
+  void acceptsThatAKilledGatewayLosesWhatItHeld() {
+    killed = true;
+    request(
+        RequestKind.IDEMPOTENT,
+        HistoryEvent.Kind.SENT,
+        HistoryEvent.Kind.EXECUTED,
+        HistoryEvent.Kind.ENDED_UNANSWERED);
+    assertEquals(List.of(), brokenRules());
+  }
+
   @Test
   void findsAConnectionThatIsClosedUnderARequest() {
     request(RequestKind.IDEMPOTENT, HistoryEvent.Kind.SENT, HistoryEvent.Kind.ENDED_UNANSWERED);
--- a/src/test/java/quotagateway/soak/SoakCommand.java
+++ b/src/test/java/quotagateway/soak/SoakCommand.java
@@ -117,6 +117,8 @@
         + result.seed()
         + " requests "
         + result.requests()
+        + " "
+        + result.outcomes()
         + " checks "
         + result.checks()
         + " voided "
