--- a/src/test/java/quotagateway/backend/BackendConnectionPoolTest.java
+++ b/src/test/java/quotagateway/backend/BackendConnectionPoolTest.java
@@ -475,10 +475,7 @@
   void connectionsAreNotUsedAgainForAWhileAfterASecondResponse() throws Exception {
     try (ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
       server.setSoTimeout(10_000);
-      BackendConnectionPool pool =
-          loop.submit(() -> pool(new MonotonicClock(nanos::get), 100, server.getLocalPort()))
-              .sync()
-              .getNow();
+      BackendConnectionPool pool = poolOnTestClock(server);
       startAttempt(pool);
       Socket sendsTwice = server.accept();
       read(sendsTwice);
@@ -498,6 +495,12 @@
     }
   }
 
+  private BackendConnectionPool poolOnTestClock(ServerSocket server) throws InterruptedException {
+    return loop.submit(() -> pool(new MonotonicClock(nanos::get), 100, server.getLocalPort()))
+        .sync()
+        .getNow();
+  }
+
   private void startAttempt(BackendConnectionPool pool) {
     loop.submit(() -> pool.start(1, attempt(5_000), FOREVER));
   }
@@ -511,10 +514,7 @@
     assumeTrue(Epoll.isAvailable(), "only there the kernel tells what has not been read");
     try (ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
       server.setSoTimeout(10_000);
-      BackendConnectionPool pool =
-          loop.submit(() -> pool(new MonotonicClock(nanos::get), 100, server.getLocalPort()))
-              .sync()
-              .getNow();
+      BackendConnectionPool pool = poolOnTestClock(server);
       startAttempt(pool);
       Socket first = server.accept();
       answer(first);
--- a/src/test/java/quotagateway/policy/GatewayPolicyTest.java
+++ b/src/test/java/quotagateway/policy/GatewayPolicyTest.java
@@ -623,28 +623,9 @@
     assertTrue(f.did(RejectRequest.class), "the third of two");
   }
 
-  private static PolicySettings withMaxOpen(PolicySettings s, int maxOpenRequests) {
-    Capabilities a = s.capabilities();
-    return new PolicySettings(
-        s.gatewayCount(),
-        s.gatewayIndex(),
-        s.zone(),
-        s.maxRequestUnits(),
-        s.crossZonePrice(),
-        s.endpointWeightsTold(),
-        s.requestClasses(),
-        s.plans(),
-        new Capabilities(
-            a.sharedCounter(),
-            a.counterTimeoutMs(),
-            a.cancellation(),
-            a.hedging(),
-            a.maxAttempts(),
-            maxOpenRequests,
-            a.retryAfter(),
-            a.maxRetryAfterMs(),
-            a.pollsDiscovery()),
-        s.rules());
+  private static PolicySettings withMaxOpen(PolicySettings settings, int maxOpenRequests) {
+    int attempts = settings.capabilities().maxAttempts();
+    return changed(settings, settings.requestClasses(), attempts, maxOpenRequests);
   }
 
   @Test
@@ -674,6 +655,11 @@
                             0,
                             false))
             .toList();
+    return changed(s, classes, attempts, s.capabilities().maxOpenRequests());
+  }
+
+  private static PolicySettings changed(
+      PolicySettings s, List<RequestClass> classes, int attempts, int maxOpenRequests) {
     Capabilities a = s.capabilities();
     return new PolicySettings(
         s.gatewayCount(),
@@ -690,7 +676,7 @@
             a.cancellation(),
             a.hedging(),
             attempts,
-            a.maxOpenRequests(),
+            maxOpenRequests,
             a.retryAfter(),
             a.maxRetryAfterMs(),
             a.pollsDiscovery()),
