--- a/src/test/java/quotagateway/soak/History.java
+++ b/src/test/java/quotagateway/soak/History.java
@@ -13,7 +13,13 @@
 final class History {
 
   /** One request as its client sent it. */
-  record Sent(RequestKind kind, int gateway, double timeoutMs, boolean first, double idleMs) {}
+  record Sent(
+      RequestKind kind,
+      Customer customer,
+      int gateway,
+      double timeoutMs,
+      boolean first,
+      double idleMs) {}
 
   private static final double NANOS_PER_MS = 1e6;
 
--- a/src/test/java/quotagateway/soak/HistoryChecker.java
+++ b/src/test/java/quotagateway/soak/HistoryChecker.java
@@ -66,6 +66,7 @@
   List<Violation> check() {
     history.requests().forEach(this::checkRequest);
     checkRejections();
+    checkHardLimit();
     return violations;
   }
 
@@ -134,7 +135,7 @@
     }
     checks++;
     for (HistoryEvent event : events) {
-      if (isAttempt(event) && event.timeMs() > left.timeMs() + AFTER_CLIENT_LEFT_MS) {
+      if (event.isAttempt() && event.timeMs() > left.timeMs() + AFTER_CLIENT_LEFT_MS) {
         reportUnlessLate(
             "attempt after its client left", id, events, left.timeMs(), event.timeMs());
       }
@@ -143,7 +144,7 @@
 
   private void checkClosedBackends(String id, List<HistoryEvent> events) {
     for (HistoryEvent event : events) {
-      if (!isAttempt(event)) {
+      if (!event.isAttempt()) {
         continue;
       }
       checks++;
@@ -177,9 +178,22 @@
     }
   }
 
-  private static boolean isAttempt(HistoryEvent event) {
-    return event.kind() == HistoryEvent.Kind.EXECUTED
-        || event.kind() == HistoryEvent.Kind.NOT_EXECUTED;
+  private void checkHardLimit() {
+    HardLimitRule limit = new HardLimitRule();
+    history
+        .requests()
+        .forEach(
+            (id, sent) -> {
+              if (sent.customer() == Customer.HARD_LIMITED) {
+                limit.add(history.of(id));
+              }
+            });
+    checks++;
+    double lowest = limit.lowestLevel();
+    if (lowest < -HardLimitRule.SLACK_UNITS) {
+      violations.add(
+          new Violation("hard limit", "customer", List.of("lowest level " + lowest + " units")));
+    }
   }
 
   private static HistoryEvent first(List<HistoryEvent> events, HistoryEvent.Kind kind) {
--- a/src/test/java/quotagateway/soak/HistoryCheckerTest.java
+++ b/src/test/java/quotagateway/soak/HistoryCheckerTest.java
@@ -1,6 +1,7 @@
 package quotagateway.soak;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
@@ -47,7 +48,7 @@
   }
 
   private void request(RequestKind kind, HistoryEvent.Kind... events) {
-    history.open(ID, new History.Sent(kind, 0, 1_000, false, 10));
+    history.open(ID, new History.Sent(kind, Customer.UNLIMITED, 0, 1_000, false, 10));
     for (HistoryEvent.Kind event : events) {
       history.add(ID, event, "backend-2", "");
     }
@@ -130,4 +131,20 @@
         HistoryEvent.Kind.ANSWERED);
     assertEquals(List.of("attempt at a backend that drains or is gone"), brokenRules());
   }
+
+  @Test
+  void findsAHardLimitThatIsPassedByMoreThanItsSlack() {
+    HardLimitRule limit = new HardLimitRule();
+    int units = (int) (HardLimitRule.BURST_UNITS + HardLimitRule.SLACK_UNITS);
+    for (int i = 0; i < units; i++) {
+      limit.add(List.of(execution(0)));
+    }
+    assertEquals(-HardLimitRule.SLACK_UNITS, limit.lowestLevel(), 1e-9);
+    limit.add(List.of(execution(1)));
+    assertTrue(limit.lowestLevel() < -HardLimitRule.SLACK_UNITS);
+  }
+
+  private static HistoryEvent execution(double timeMs) {
+    return new HistoryEvent(timeMs, HistoryEvent.Kind.EXECUTED, "backend-1", "");
+  }
 }
--- a/src/test/java/quotagateway/soak/HistoryEvent.java
+++ b/src/test/java/quotagateway/soak/HistoryEvent.java
@@ -40,6 +40,11 @@
     }
   }
 
+  /** Whether an attempt reached a backend, which executed it or rejected it. */
+  boolean isAttempt() {
+    return kind == Kind.EXECUTED || kind == Kind.NOT_EXECUTED;
+  }
+
   @Override
   public String toString() {
     return String.format("%.1f ms %s %s %s", timeMs, kind, peer, detail);
--- a/src/test/java/quotagateway/soak/RejectionSpans.java
+++ b/src/test/java/quotagateway/soak/RejectionSpans.java
@@ -25,12 +25,7 @@
 
   /** Takes what was seen of a request. */
   void add(History.Sent sent, List<HistoryEvent> events) {
-    boolean attempted =
-        events.stream()
-            .anyMatch(
-                event ->
-                    event.kind() == HistoryEvent.Kind.EXECUTED
-                        || event.kind() == HistoryEvent.Kind.NOT_EXECUTED);
+    boolean attempted = events.stream().anyMatch(HistoryEvent::isAttempt);
     events.stream()
         .filter(event -> event.kind() == HistoryEvent.Kind.ANSWERED)
         .map(event -> new Answer(event.timeMs(), attempted || status(event) == OK))
--- a/src/test/java/quotagateway/soak/RequestKind.java
+++ b/src/test/java/quotagateway/soak/RequestKind.java
@@ -28,15 +28,15 @@
   }
 
   /** A request of the class in its wire form. */
-  String request(String id, int timeoutMs, String body) {
+  String request(String id, String customerHeaders, int timeoutMs, String body) {
     StringBuilder text = new StringBuilder();
     text.append(this == IDEMPOTENT ? "GET /" : "POST /")
         .append(className)
         .append("/1 HTTP/1.1\r\n");
     text.append("Host: backend.local\r\nRequest-Id: ").append(id);
     text.append("\r\nRequest-Class: ").append(className);
-    text.append("\r\nX-Plan: basic\r\nX-Customer: 00000000b4d65521\r\nRequest-Timeout-Ms: ");
-    text.append(timeoutMs).append("\r\nX-Quota: units=1,spread=2,first=0\r\n");
+    text.append("\r\nRequest-Timeout-Ms: ").append(timeoutMs).append("\r\n");
+    text.append(customerHeaders);
     if (this == IDEMPOTENT_WITH_KEY) {
       text.append("Idempotency-Key: key-").append(id).append("\r\n");
     }
--- a/src/test/java/quotagateway/soak/SoakClient.java
+++ b/src/test/java/quotagateway/soak/SoakClient.java
@@ -30,6 +30,10 @@
   private static final double PIPELINE_SHARE = 0.06;
   private static final double LEAVE_SHARE = 0.05;
   private static final int MAX_PIPELINED = 4;
+
+  /** One client in so many asks for the customer with a hard limit. */
+  private static final int HARD_LIMITED_DIVISOR = 4;
+
   private static final int MAX_BODY_BYTES = 3_000;
 
   private final int number;
@@ -37,6 +41,7 @@
   private final List<SoakGateway> gateways;
   private final History history;
   private final BooleanSupplier stopped;
+  private final Customer customer;
   private int requests;
 
   SoakClient(
@@ -50,6 +55,7 @@
     this.gateways = gateways;
     this.history = history;
     this.stopped = stopped;
+    customer = number % HARD_LIMITED_DIVISOR == 0 ? Customer.HARD_LIMITED : Customer.UNLIMITED;
   }
 
   @Override
@@ -138,8 +144,9 @@
         String id = "c" + number + "-" + requests++;
         ids.add(id);
         double idleMs = history.nowMs() - idleSinceMs;
-        history.open(id, new History.Sent(kind, gateway, timeoutMs, first, idleMs));
-        text.append(kind.request(id, timeoutMs, "b".repeat(random.nextInt(MAX_BODY_BYTES))));
+        history.open(id, new History.Sent(kind, customer, gateway, timeoutMs, first, idleMs));
+        String body = "b".repeat(random.nextInt(MAX_BODY_BYTES));
+        text.append(kind.request(id, customer.headers(gateways.size()), timeoutMs, body));
       }
       try {
         if (random.nextDouble() < LEAVE_SHARE) {
--- a/src/test/java/quotagateway/soak/SoakGateway.java
+++ b/src/test/java/quotagateway/soak/SoakGateway.java
@@ -45,17 +45,20 @@
 
   private static final String SETTINGS =
       """
-       "settings":{"Balancers":2,"SelfIndex":%d,"MyZone":"a","Discovery":"push",
+       "settings":{"Balancers":%d,"SelfIndex":%d,"MyZone":"a","Discovery":"push",
         "Bounds":{"MaxAttempts":4,"Cancel":true,"MaxOpen":1000,"DialTimeoutMs":250,
          "ConnIdleMs":2000,"RetryAfter":true,"MaxRetryAfterMs":500},
         "Extra":{"Counter":true,"CountLimitMs":50,"MaxUnits":8,"CostAfter":false},
         "Rules":{"AnswerSlackMs":8,"ColdFrom":0.2,"ColdMs":9000,"TipMultiple":3,"TipAfterMs":2000,
          "DrainGraceMs":50},
         "Profiles":[%s],
-        "Tariffs":[{"Name":"basic","Refill":%d,"PeakUnits":4000,"WorthFactor":1,"OverrunCost":1}]}}
+        "Tariffs":[{"Name":"basic","Refill":%d,"PeakUnits":4000,"WorthFactor":1,"OverrunCost":1},
+         {"Name":"limited","Refill":20,"PeakUnits":20,"WorthFactor":1,"OverrunCost":1,
+          "CeilingRate":%.0f,"CeilingBurst":%.0f,"HardSlack":%.0f}]}}
       """;
 
   private final int number;
+  private final int fleetSize;
   private final Launcher launcher;
   private final History history;
   private final SoakDiscovery discovery;
@@ -80,9 +83,15 @@
   record Leaving(double fromMs, double untilMs) {}
 
   SoakGateway(
-      int number, Launcher launcher, History history, SoakDiscovery discovery, int counterPort)
+      int number,
+      int fleetSize,
+      Launcher launcher,
+      History history,
+      SoakDiscovery discovery,
+      int counterPort)
       throws IOException {
     this.number = number;
+    this.fleetSize = fleetSize;
     this.launcher = launcher;
     this.history = history;
     this.discovery = discovery;
@@ -153,7 +162,14 @@
         """
             .formatted(
                 number, listen.getPort(), discovery.port(), counterPort, discovery.wholeList())
-        + SETTINGS.formatted(number, classes, 400 + reloads);
+        + SETTINGS.formatted(
+            fleetSize,
+            number,
+            classes,
+            400 + reloads,
+            HardLimitRule.UNITS_PER_SECOND,
+            HardLimitRule.BURST_UNITS,
+            HardLimitRule.SLACK_UNITS);
   }
 
   /** Starts a process, and returns once it may get connections. */
--- a/src/test/java/quotagateway/soak/SoakRun.java
+++ b/src/test/java/quotagateway/soak/SoakRun.java
@@ -78,7 +78,8 @@
     }
     discovery = new SoakDiscovery(history, backends);
     for (int i = 0; i < plan.gateways(); i++) {
-      gateways.add(new SoakGateway(i, launcher, history, discovery, counter.port()));
+      gateways.add(
+          new SoakGateway(i, plan.gateways(), launcher, history, discovery, counter.port()));
       operators.add(Executors.newSingleThreadExecutor(SoakRun::daemon));
     }
   }
