Keep connections to a backend that was only suspected of a restart

After a refused connection all connections made since were dropped at the next whole list, and attempts that waited for one ended unsent: the pool compared the start that the policy assumes with the one that discovery lists.

Change: the index keeps the listed start of the few that are assumed to have started at another time, and the pool is told that one. Suspected by reading; test red before (the connection was closed).

--- a/src/main/java/quotagateway/endpoint/EndpointIndex.java
+++ b/src/main/java/quotagateway/endpoint/EndpointIndex.java
@@ -1,5 +1,6 @@
 package quotagateway.endpoint;
 
+import it.unimi.dsi.fastutil.ints.Int2DoubleOpenHashMap;
 import it.unimi.dsi.fastutil.longs.Long2IntOpenHashMap;
 import java.util.BitSet;
 import java.util.function.IntConsumer;
@@ -28,6 +29,9 @@
 
   private final OrderedSlots serving = new OrderedSlots(this::id);
 
+  /** What the endpoint list says of those that are assumed to have started at another time. */
+  private final Int2DoubleOpenHashMap listedStartsMs = new Int2DoubleOpenHashMap();
+
   private final WarmingUpEndpoints warmingUp = new WarmingUpEndpoints(columns);
   private final MeanWeight meanWeight = new MeanWeight();
   private OrderedSlots ranked;
@@ -101,7 +105,7 @@
   @Override
   public double startedMs(long id) {
     int slot = find(id);
-    return slot == NONE ? 0 : assumedStartMs(slot);
+    return slot == NONE ? 0 : listedStartsMs.getOrDefault(slot, assumedStartMs(slot));
   }
 
   @Override
@@ -247,6 +251,12 @@
 
   /** Assumes that an endpoint started then, whatever the endpoint list says. */
   public void assumeStarted(int slot, double startedMs, double warmUpMs, double nowMs) {
+    double listedStartMs = listedStartsMs.getOrDefault(slot, assumedStartMs(slot));
+    if (startedMs == listedStartMs) {
+      listedStartsMs.remove(slot);
+    } else {
+      listedStartsMs.put(slot, listedStartMs);
+    }
     warmingUp.remove(slot);
     columns.setStartedMs(slot, startedMs);
     if (state(slot) == EndpointState.SERVING) {
@@ -254,6 +264,11 @@
     }
   }
 
+  /** The endpoint list names another process of an endpoint: what was assumed is over. */
+  public void forgetAssumedStart(int slot) {
+    listedStartsMs.remove(slot);
+  }
+
   /**
    * All endpoints but those whose slots are named, and those that are updated from now on, have
    * left: {@link #hasLeft} says so at once, and {@link #sweep} removes them.
@@ -282,6 +297,7 @@
   /** Forgets an endpoint that does not serve; its slot is free. */
   public void remove(int slot) {
     notServing.remove(id(slot));
+    listedStartsMs.remove(slot);
     columns.release(slot);
   }
 
--- a/src/main/java/quotagateway/endpoint/ServingEndpoints.java
+++ b/src/main/java/quotagateway/endpoint/ServingEndpoints.java
@@ -5,7 +5,7 @@
   /** Where an endpoint listens; {@link Endpoint#NO_ADDRESS} for one that does not serve. */
   long address(long id);
 
-  /** When a serving endpoint started, as it is assumed to have, in Unix milliseconds. */
+  /** When a serving endpoint started, as the endpoint list says, in Unix milliseconds. */
   double startedMs(long id);
 
   /** Whether any endpoint serves. */
--- a/src/main/java/quotagateway/policy/routing/EndpointTracker.java
+++ b/src/main/java/quotagateway/policy/routing/EndpointTracker.java
@@ -125,6 +125,7 @@
     index.setAddress(slot, endpoint.address());
     index.update(slot, group, endpoint.state(), size, startedMs, warmUpMs(), context.nowMs());
     if (!sameProcess) {
+      index.forgetAssumedStart(slot);
       replaceStatus(slot);
     } else if (status != null) {
       joinGroup(status);
--- a/src/test/java/quotagateway/backend/BackendConnectionPoolTest.java
+++ b/src/test/java/quotagateway/backend/BackendConnectionPoolTest.java
@@ -40,6 +40,7 @@
 import org.junit.jupiter.api.Timeout;
 import quotagateway.discovery.EndpointUpdate;
 import quotagateway.endpoint.Endpoint;
+import quotagateway.endpoint.EndpointIndex;
 import quotagateway.endpoint.EndpointState;
 import quotagateway.policy.event.Status;
 import quotagateway.testing.TestQueues;
@@ -495,6 +496,56 @@
     }
   }
 
+  /**
+   * A backend was taken for restarted, as a connection was refused, and answers all the same. A
+   * list that says the same as before is no reason to drop the connections made since.
+   */
+  @Test
+  void connectionsOutliveAListThatDoesNotConfirmASuspectedRestart() throws Exception {
+    try (ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+      server.setSoTimeout(10_000);
+      long address = new SingleEndpoint(server.getLocalPort()).listedAddress();
+      EndpointIndex index = indexOfRestartSuspect(address);
+      BackendConnectionPool pool =
+          loop.submit(
+                  () ->
+                      new BackendConnectionPool(
+                          loop,
+                          new MonotonicClock(nanos::get),
+                          Dialer.sockets(loop, 5_000),
+                          10_000,
+                          new ConnectionBudget(100),
+                          index))
+              .sync()
+              .getNow();
+      startAttempt(pool);
+      Socket first = server.accept();
+      answer(first);
+      Endpoint listed = new Endpoint(1, "a", 0, EndpointState.SERVING, 1, 0, address);
+      loop.submit(
+              () -> {
+                pool.onEndpointsUpdated(new EndpointUpdate(1, true, List.of(listed)));
+                nanos.addAndGet(TimeUnit.MILLISECONDS.toNanos(50));
+                pool.start(1, attempt(5_000), FOREVER);
+              })
+          .sync();
+      answer(first);
+    }
+  }
+
+  /** Lists one backend as started long ago; it is assumed to have started just now. */
+  private static EndpointIndex indexOfRestartSuspect(long address) {
+    double warmUpMs = 9_000;
+    double nowMs = 50_000;
+    EndpointIndex index = new EndpointIndex(0);
+    int group = index.group("a", 0);
+    int slot = index.add(1, group);
+    index.setAddress(slot, address);
+    index.update(slot, group, EndpointState.SERVING, 1, 0, warmUpMs, nowMs);
+    index.assumeStarted(slot, nowMs, warmUpMs, nowMs);
+    return index;
+  }
+
   private BackendConnectionPool poolOnTestClock(ServerSocket server) throws InterruptedException {
     return loop.submit(() -> pool(new MonotonicClock(nanos::get), 100, server.getLocalPort()))
         .sync()
