Advise a service time at a concurrency limit, not the refill of the rate

A client rejected at its concurrency limit was told to come back in 25 ms, as its rate had units, and was only rejected again: room comes when an open request ends, after about a service time.

Suspected by reading; test red before (25 ms, expected 100).

--- a/src/main/java/quotagateway/policy/quota/QuotaLimiter.java
+++ b/src/main/java/quotagateway/policy/quota/QuotaLimiter.java
@@ -154,14 +154,14 @@
     if (concurrencyLimiter.tryAcquireLocally(reservation.account)) {
       return acquireUnits(reservation);
     }
-    return overQuota(reservation);
+    return overConcurrencyLimit();
   }
 
   private Optional<CounterReplyDecision> onPermitReply(
       QuotaReservation reservation, CounterReplied reply) {
     return switch (concurrencyLimiter.onReply(reservation, reply.status(), reply.total())) {
       case GRANTED -> decided(reservation, acquireUnits(reservation));
-      case EXHAUSTED -> decided(reservation, overQuota(reservation));
+      case EXHAUSTED -> decided(reservation, overConcurrencyLimit());
       case UNKNOWN -> decided(reservation, acquireWithLocalPermit(reservation));
       case NOT_AWAITED -> Optional.empty();
     };
@@ -301,15 +301,20 @@
     return account.availableUnits() - account.settlement().inFlightUnits() + ownAskedUnits;
   }
 
+  /** Expects room for a request when an open one ends, which takes about a service time. */
+  private QuotaDecision overConcurrencyLimit() {
+    return new QuotaDecision.OverQuota(backendLoad.meanServiceMs());
+  }
+
   /**
-   * Expects room for the request when its missing units are refilled; where a plan bounds open
-   * requests alone, when one of them ends, which takes about a service time.
+   * Expects room for the request when its missing units are refilled; where a plan has no rate, as
+   * at a concurrency limit.
    */
   private QuotaDecision overQuota(QuotaReservation reservation) {
     CustomerAccount account = reservation.account;
     double unitsPerSecond = account.plan().unitsPerSecond();
     if (unitsPerSecond <= 0) {
-      return new QuotaDecision.OverQuota(backendLoad.meanServiceMs());
+      return overConcurrencyLimit();
     }
     double missingUnits = reservation.units - account.availableUnits();
     return new QuotaDecision.OverQuota(
--- a/src/test/java/quotagateway/policy/quota/QuotaFixture.java
+++ b/src/test/java/quotagateway/policy/quota/QuotaFixture.java
@@ -25,6 +25,9 @@
   /** Two open requests. */
   static final Plan CONCURRENCY = new Plan("concurrency", 0, 0, 2, 1, 0, 1, 0, 0, 0);
 
+  /** As {@link #BUCKET}, with two open requests. */
+  static final Plan RATE_AND_CONCURRENCY = new Plan("both", 2, 10, 2, 1, 0, 1, 0, 0, 0);
+
   /** As {@link #BUCKET}, with a hard limit of 4 units a second and bursts of 20. */
   static final Plan HARD_LIMIT = new Plan("hard limit", 2, 10, 0, 1, 0, 1, 4, 20, 2);
 
@@ -50,7 +53,8 @@
         usual.crossZonePrice(),
         usual.endpointWeightsTold(),
         usual.requestClasses(),
-        List.of(BUCKET, FIXED_WINDOW, CONCURRENCY, HARD_LIMIT, WIDE_HARD_LIMIT),
+        List.of(
+            BUCKET, FIXED_WINDOW, CONCURRENCY, RATE_AND_CONCURRENCY, HARD_LIMIT, WIDE_HARD_LIMIT),
         usual.capabilities(),
         usual.rules());
   }
--- a/src/test/java/quotagateway/policy/quota/QuotaLimiterTest.java
+++ b/src/test/java/quotagateway/policy/quota/QuotaLimiterTest.java
@@ -92,6 +92,22 @@
     assertEquals(1_000, rejected.retryAfterMs(), 20, "2 more at 2 units a second");
   }
 
+  /** Told to come back as soon as its rate allows, a client would only be rejected again. */
+  @Test
+  void theAdviceAtAConcurrencyLimitIsTheTimeInWhichARequestEnds() {
+    QuotaFixture uncounted = new QuotaFixture(1, false);
+    QuotaLimiter ownLimiter = new QuotaLimiter(uncounted.context, uncounted);
+    Plan plan = QuotaFixture.RATE_AND_CONCURRENCY;
+    QuotaDecision decision = null;
+    for (int i = 0; i < 3; i++) {
+      QuotaReservation reservation = ownLimiter.open(uncounted.request("r" + i, plan, 42, 1), 1);
+      decision = ownLimiter.acquire(reservation);
+      ownLimiter.attemptStarted(reservation);
+    }
+    OverQuota rejected = assertInstanceOf(OverQuota.class, decision, "two are open");
+    assertEquals(QuotaFixture.MEAN_SERVICE_MS, rejected.retryAfterMs());
+  }
+
   @Test
   void aPlanWithoutRateAndLimitsNeedsNoCall() {
     CustomerAccount account = fixture.account(UNLIMITED, 2);
