Linger behind a last response while part of another request has come

A client that had begun its next request when its last response ended the connection was met by a reset, which may cost it the response that it has not read yet: only the body of the answered request made the connection linger.

Suspected by reading; test red before (the second write failed).

--- a/src/main/java/quotagateway/client/ClientConnection.java
+++ b/src/main/java/quotagateway/client/ClientConnection.java
@@ -267,7 +267,8 @@
 
   private void closeAfter(ChannelFuture written) {
     InboundRequest receiving = assembler.receiving();
-    closer.closeAfter(written, receiving != null && receiving == exchange.request());
+    boolean bodyStillComes = receiving != null && receiving == exchange.request();
+    closer.closeAfter(written, bodyStillComes || assembler.receivesRequest());
   }
 
   // ---- Closing ----
--- a/src/main/java/quotagateway/client/ConnectionCloser.java
+++ b/src/main/java/quotagateway/client/ConnectionCloser.java
@@ -119,12 +119,13 @@
    * Closes the connection behind its last response.
    *
    * @param written when that is with the kernel
-   * @param bodyStillComes whether the client is still sending the body of the answered request
+   * @param moreComes whether the client is still sending the body of the answered request, or part
+   *     of another one
    */
-  void closeAfter(ChannelFuture written, boolean bodyStillComes) {
+  void closeAfter(ChannelFuture written, boolean moreComes) {
     closing = true;
     requests.discardRequests();
-    if (bodyStillComes) {
+    if (moreComes) {
       linger(written);
     } else {
       written.addListener(ChannelFutureListener.CLOSE);
--- a/src/test/java/quotagateway/server/AdminServerTest.java
+++ b/src/test/java/quotagateway/server/AdminServerTest.java
@@ -4,9 +4,11 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -21,6 +23,9 @@
 @Timeout(30)
 class AdminServerTest {
 
+  /** Well under the time for which a connection lingers. */
+  private static final long LINGER_NANOS = TimeUnit.MILLISECONDS.toNanos(150);
+
   private static final String UP = "GET /up HTTP/1.1\r\nHost: x\r\n\r\n";
 
   private final GatewayFixture fixture = new GatewayFixture();
@@ -101,6 +106,41 @@
     assertTrue(busy.ended());
   }
 
+  /**
+   * A client has sent part of its next request when its last response ends the connection. What it
+   * goes on sending must not be met by a reset, which may cost it the response that it has not read
+   * yet.
+   */
+  @Test
+  void connectionLingersBehindItsLastResponseUnderAHalfReceivedRequest() throws Exception {
+    fixture.start();
+    assertEquals(200, fixture.operator("POST /drain"));
+    String next = TestRequests.get("next", 3000);
+    boolean inTime = false;
+    for (int n = 0; !inTime; n++) {
+      TestClient client = fixture.client();
+      client.send(TestRequests.get("last" + n, 3000) + next.substring(0, 20));
+      assertEquals("close", client.receive().header("Connection"));
+      assertTrue(client.ended());
+      long endedNanos = System.nanoTime();
+      boolean taken = sendsTwice(client, next.substring(20));
+      // Again if the machine stood still: the connection lingers for a limited time.
+      inTime = System.nanoTime() - endedNanos < LINGER_NANOS;
+      assertTrue(taken || !inTime, "the connection was reset");
+    }
+  }
+
+  /** Whether a second write succeeds: the first one's reset, if there is one, has come by then. */
+  private static boolean sendsTwice(TestClient client, String text) {
+    try {
+      client.send(text);
+      client.send(text);
+      return true;
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
   /** Clients' load has stopped their event loop: operators must still be able to drain. */
   @Test
   void callsAreAnsweredWhileTheEventLoopOfClientsIsBlocked() throws Exception {
