--- a/src/test/java/quotagateway/soak/SoakDiscovery.java
+++ b/src/test/java/quotagateway/soak/SoakDiscovery.java
@@ -19,6 +19,9 @@
   /** A change counts as notified at the latest this long after discovery had it. */
   private static final double NOTIFIED_AFTER_MS = 6_000;
 
+  /** A change that is written to an open watch is in force after this. */
+  private static final double IN_FORCE_AFTER_MS = 1_000;
+
   /** The gateways start with this version of the list. */
   static final int FIRST_VERSION = 7;
 
@@ -35,6 +38,9 @@
   private final DiscoveryAgent agent;
   private int version = FIRST_VERSION;
 
+  /** Until when watches may still be broken by what was done to them. */
+  private double disturbedUntilMs = Double.NEGATIVE_INFINITY;
+
   /** When a backend was closed to requests. */
   record ClosedSpan(int backend, double fromMs, double untilMs) {}
 
@@ -83,6 +89,7 @@
 
   /** Ends all watches; the next ones get a whole list without that backend. */
   synchronized void leaveOut(int backend) {
+    disturbedUntilMs = history.nowMs() + NOTIFIED_AFTER_MS;
     set(backend, "left");
     agent.become(wholeList() + "\n", version);
     agent.endWatches();
@@ -97,7 +104,9 @@
         closedSpans.add(new ClosedSpan(backend, from, history.nowMs()));
       }
     } else {
-      closedFromMs.putIfAbsent(backend, history.nowMs() + NOTIFIED_AFTER_MS);
+      double nowMs = history.nowMs();
+      double delayMs = nowMs < disturbedUntilMs ? NOTIFIED_AFTER_MS : IN_FORCE_AFTER_MS;
+      closedFromMs.putIfAbsent(backend, nowMs + delayMs);
     }
   }
 
@@ -115,17 +124,18 @@
       agent.abandonWatches();
     }
     agent.silence(now);
-    postponeNotification();
+    postponeNotification(now);
   }
 
   /** Watches end, and new ones are answered by errors while it lasts. */
   synchronized void fail(boolean now) {
     agent.fail(now);
-    postponeNotification();
+    postponeNotification(now);
   }
 
   /** What discovery could not be asked for counts as notified 6 s after it can be again. */
-  private void postponeNotification() {
+  private void postponeNotification(boolean disturbed) {
+    disturbedUntilMs = disturbed ? Double.POSITIVE_INFINITY : history.nowMs() + NOTIFIED_AFTER_MS;
     closedFromMs.replaceAll(
         (backend, from) -> from > history.nowMs() ? history.nowMs() + NOTIFIED_AFTER_MS : from);
   }
