--- a/src/test/java/quotagateway/soak/HistoryChecker.java
+++ b/src/test/java/quotagateway/soak/HistoryChecker.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 
 /** Checks the rules of the service on a run's history. */
 final class HistoryChecker {
@@ -17,6 +18,12 @@
    */
   private static final double MAX_REJECTING_MS = 1_000;
 
+  /** Responses that no proper request gets, whatever happens to the peers. */
+  private static final Set<String> WRONG_STATUSES = Set.of("400", "408", "413", "500");
+
+  /** Responses after which a client sends its request again. */
+  private static final Set<String> REJECTIONS = Set.of("429", "503");
+
   private static final int MIN_REJECTIONS = 15;
 
   /** A stand-in that ran later than this cannot tell when something happened. */
@@ -95,6 +102,9 @@
     checks++;
     HistoryEvent answered = first(events, HistoryEvent.Kind.ANSWERED);
     HistoryEvent ended = first(events, HistoryEvent.Kind.ENDED_UNANSWERED);
+    if (answered != null && WRONG_STATUSES.contains(answered.detail())) {
+      report("proper request answered by " + answered.detail(), id, events);
+    }
     double dueAtMs = written.timeMs() + sent.timeoutMs() + SoakClient.SLACK_MS;
     if (first(events, HistoryEvent.Kind.NO_RESPONSE) != null) {
       reportUnlessLate("no response", id, events, written.timeMs(), dueAtMs);
@@ -126,6 +136,11 @@
     if (sent.kind() == RequestKind.NOT_IDEMPOTENT && executions > 1) {
       report("executed " + executions + " times", id, events);
     }
+    HistoryEvent answered = first(events, HistoryEvent.Kind.ANSWERED);
+    boolean rejected = answered != null && REJECTIONS.contains(answered.detail());
+    if (sent.kind() == RequestKind.NOT_IDEMPOTENT && executions > 0 && rejected) {
+      report("rejected after an execution", id, events);
+    }
   }
 
   private void checkAfterClientLeft(String id, List<HistoryEvent> events) {
--- a/src/test/java/quotagateway/soak/HistoryCheckerTest.java
+++ b/src/test/java/quotagateway/soak/HistoryCheckerTest.java
@@ -75,6 +75,13 @@
     assertEquals(List.of("response of another request"), brokenRules());
   }
 
+  @Test
+  void findsAProperRequestThatIsTakenForABadOne() {
+    request(RequestKind.IDEMPOTENT, HistoryEvent.Kind.SENT);
+    history.add(ID, HistoryEvent.Kind.ANSWERED, "client-1", "400");
+    assertEquals(List.of("proper request answered by 400"), brokenRules());
+  }
+
   @Test
   void findsASecondExecution() {
     request(
@@ -86,6 +93,13 @@
     assertEquals(List.of("executed 2 times"), brokenRules());
   }
 
+  @Test
+  void findsARejectionAfterAnExecution() {
+    request(RequestKind.NOT_IDEMPOTENT, HistoryEvent.Kind.SENT, HistoryEvent.Kind.EXECUTED);
+    history.add(ID, HistoryEvent.Kind.ANSWERED, "client-1", "503");
+    assertEquals(List.of("rejected after an execution"), brokenRules());
+  }
+
   @Test
   void findsAForwardedRequestThatIsLostThoughItsGatewayEnds() {
     leaving = true;
--- a/src/test/java/quotagateway/soak/SoakGateway.java
+++ b/src/test/java/quotagateway/soak/SoakGateway.java
@@ -41,6 +41,7 @@
   private static final double KILL_SEEN_MS = 1_000;
 
   private static final long MAX_READY_MS = 30_000;
+  private static final double MAX_READY_AFTER_UNDRAIN_MS = 2_000;
   private static final long READY_POLL_MS = 20;
 
   private static final String SETTINGS =
@@ -290,7 +291,20 @@
     expect(200, "POST /undrain");
     leaving.removeIf(span -> span.untilMs == Double.POSITIVE_INFINITY);
     leaving.add(new Leaving(from, history.nowMs()));
-    admitted = operator("GET /ready") == 200;
+    awaitReadyAgain();
+  }
+
+  /** The drain has been taken back. */
+  private void awaitReadyAgain() throws InterruptedException {
+    double untilMs = history.nowMs() + MAX_READY_AFTER_UNDRAIN_MS;
+    while (operator("GET /ready") != 200) {
+      if (history.nowMs() > untilMs) {
+        faults.add("gateway " + number + " was not ready after its drain was taken back");
+        return;
+      }
+      TimeUnit.MILLISECONDS.sleep(READY_POLL_MS);
+    }
+    admitted = true;
   }
 
   private void expect(int status, String call) {
