Acknowledge a backend's response at once, so that no second copy is held back behind it

Cause: a backend without TCP_NODELAY holds its second segment back until the first is acknowledged (Nagle's algorithm), and on a connection that has been in use for a while the gateway's kernel delays that acknowledgement until it has something to write: the next request. The copy then came right behind it, where no look at the socket can see it.

Change: a response is acknowledged at once when its connection becomes idle. Test red before (the next request was written on that connection), with the mend the copy comes at once and is found.

--- a/src/main/java/quotagateway/backend/BackendConnection.java
+++ b/src/main/java/quotagateway/backend/BackendConnection.java
@@ -99,9 +99,13 @@
     return idleSinceMs;
   }
 
-  /** No attempt is on it from now on. */
+  /**
+   * No attempt is on it from now on. The response is acknowledged at once, so that the backend does
+   * not hold back a second copy until the next request comes, for whose response it would be taken.
+   */
   void markIdle() {
     idleSinceMs = clock.now();
+    KernelSockets.acknowledgeNow(channel);
   }
 
   /** It is to carry an attempt again. */
--- a/src/main/java/quotagateway/transport/KernelSockets.java
+++ b/src/main/java/quotagateway/transport/KernelSockets.java
@@ -9,6 +9,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.Set;
+import java.util.logging.Level;
 import java.util.logging.Logger;
 
 /**
@@ -88,6 +89,22 @@
     }
   }
 
+  /**
+   * Acknowledges at once what has been read, rather than with the next write or a delay of some
+   * tens of milliseconds. Until then a peer that has not switched Nagle's algorithm off holds back
+   * what it has written since.
+   */
+  public static void acknowledgeNow(Channel channel) {
+    if (!(channel instanceof EpollSocketChannel connection)) {
+      return;
+    }
+    try {
+      connection.config().setTcpQuickAck(true);
+    } catch (ChannelException e) {
+      LOG.log(Level.FINE, "no quick acknowledgement", e);
+    }
+  }
+
   /**
    * Closes a connection with a reset. One whose socket is closed is left alone, even if its
    * pipeline does not know yet: the option would fail, or be set on the socket that has its
--- a/src/test/java/quotagateway/backend/BackendConnectionPoolTest.java
+++ b/src/test/java/quotagateway/backend/BackendConnectionPoolTest.java
@@ -57,6 +57,10 @@
 
   private static final int FEW_BYTES = 4 * 1024;
   private static final double FOREVER = Double.POSITIVE_INFINITY;
+
+  /** A new connection's segments are acknowledged at once for a while. */
+  private static final int EXCHANGES_BEFORE_DELAYED_ACKNOWLEDGEMENTS = 50;
+
   private static final String EMPTY_RESPONSE = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
 
   private final EventLoopGroup group =
@@ -451,6 +455,35 @@
         });
   }
 
+  /**
+   * The backend's kernel holds a second copy back until the first is acknowledged (Nagle's
+   * algorithm), which on a connection that has been in use for a while happens with the next
+   * request: the copy then came right behind that request.
+   */
+  @Test
+  void secondResponseThatIsHeldBackUntilAnAcknowledgementIsNotTheNextOne() throws Exception {
+    assumeTrue(Epoll.isAvailable(), "only there a response can be acknowledged at once");
+    try (ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+      server.setSoTimeout(10_000);
+      BackendConnectionPool pool = poolOnTestClock(server);
+      startAttempt(pool);
+      Socket first = server.accept();
+      answer(first);
+      for (int i = 0; i < EXCHANGES_BEFORE_DELAYED_ACKNOWLEDGEMENTS; i++) {
+        nanos.addAndGet(TimeUnit.MILLISECONDS.toNanos(50));
+        startAttempt(pool);
+        answer(first);
+      }
+      nanos.addAndGet(TimeUnit.MILLISECONDS.toNanos(50));
+      startAttempt(pool);
+      answer(first);
+      first.getOutputStream().write(EMPTY_RESPONSE.getBytes(US_ASCII));
+      nanos.addAndGet(TimeUnit.MILLISECONDS.toNanos(50));
+      startAttempt(pool);
+      answer(server.accept());
+    }
+  }
+
   /** The same where the backend has closed the connection: a request on it would be lost. */
   @Test
   void connectionWithAnUnreadCloseIsNotUsedAgain() throws Exception {
--- a/src/test/java/quotagateway/soak/SoakBackend.java
+++ b/src/test/java/quotagateway/soak/SoakBackend.java
@@ -18,6 +18,9 @@
 
   private static final int MAX_SERVICE_MS = 30;
 
+  /** Between a response and its second copy, where that comes late. */
+  private static final long COPY_DELAY_MS = 2;
+
   /** How an attempt is met. */
   private enum Behavior {
     ANSWER,
@@ -98,7 +101,7 @@
         }
         return true;
       case ANSWER_TWICE:
-        return TextStreams.write(out, ok + ok);
+        return plan.lateCopies() ? answerTwice(ok, out) : TextStreams.write(out, ok + ok);
       case ANSWER_THEN_CLOSE:
         TextStreams.write(out, ok);
         return false;
@@ -121,6 +124,12 @@
     }
   }
 
+  private boolean answerTwice(String ok, OutputStream out) throws IOException {
+    TextStreams.write(out, ok);
+    pause(COPY_DELAY_MS);
+    return TextStreams.write(out, ok);
+  }
+
   /** Waits for the time, or until the run is over. */
   private void pause(long ms) throws IOException {
     try {
--- a/src/test/java/quotagateway/soak/SoakCommand.java
+++ b/src/test/java/quotagateway/soak/SoakCommand.java
@@ -63,6 +63,13 @@
       description = "No further seed is begun after so long (${DEFAULT-VALUE}).")
   private double minutes;
 
+  @Option(
+      names = "--late-copies",
+      description =
+          "Second copies of responses come some milliseconds behind the first. Of those that come"
+              + " later than the gateway waits, not all can be told from the next response.")
+  private boolean lateCopies;
+
   @Option(names = "--out", description = "Folder for a report of each seed; else standard output.")
   private Path out;
 
@@ -78,28 +85,30 @@
       if (System.nanoTime() > untilNanos) {
         break;
       }
-      results.add(play(seed, folder -> GatewayProcess.deployedCommand(), out));
+      SoakPlan plan = SoakPlan.draw(seed, lateCopies);
+      results.add(play(plan, folder -> GatewayProcess.deployedCommand(), out));
     }
     return summarize(results);
   }
 
   /** Plays one seed and reports it: its time line, and each violation with its history. */
-  static SoakRun.Result play(long seed, SoakGateway.Launcher launcher, Path reports)
+  static SoakRun.Result play(SoakPlan plan, SoakGateway.Launcher launcher, Path reports)
       throws IOException, InterruptedException {
     if (reports == null) {
-      return play(seed, launcher, System.out);
+      return play(plan, launcher, System.out);
     }
     Files.createDirectories(reports);
-    Path report = reports.resolve("seed-" + seed + ".txt");
+    Path report = reports.resolve("seed-" + plan.seed() + ".txt");
     try (PrintStream file = new PrintStream(report.toFile(), StandardCharsets.UTF_8)) {
-      return play(seed, launcher, file);
+      return play(plan, launcher, file);
     }
   }
 
-  private static SoakRun.Result play(long seed, SoakGateway.Launcher launcher, PrintStream report)
+  private static SoakRun.Result play(
+      SoakPlan plan, SoakGateway.Launcher launcher, PrintStream report)
       throws IOException, InterruptedException {
-    SoakPlan plan = SoakPlan.draw(seed);
-    report.println("seed " + seed + " gateways " + plan.gateways() + " clients " + plan.clients());
+    report.println(
+        "seed " + plan.seed() + " gateways " + plan.gateways() + " clients " + plan.clients());
     report.printf(
         "backends %d fault share %.2f crowd %d%n",
         plan.backends(), plan.backendFaultShare(), plan.crowd());
--- a/src/test/java/quotagateway/soak/SoakPlan.java
+++ b/src/test/java/quotagateway/soak/SoakPlan.java
@@ -13,6 +13,7 @@
  * @param clients that ask all the time
  * @param backends that serve them
  * @param backendFaultShare of the attempts that a backend does not just answer
+ * @param lateCopies whether second copies of responses come some milliseconds behind the first
  * @param crowd idle connections that clients hold at a gateway from a step on
  * @param steps in the order of their times
  */
@@ -22,6 +23,7 @@
     int clients,
     int backends,
     double backendFaultShare,
+    boolean lateCopies,
     int crowd,
     List<Step> steps) {
 
@@ -85,7 +87,7 @@
   }
 
   /** Draws the run of a seed. */
-  static SoakPlan draw(long seed) {
+  static SoakPlan draw(long seed, boolean lateCopies) {
     SplittableRandom random = new SplittableRandom(seed);
     int gateways = 2 + random.nextInt(2);
     double from = random.nextDouble(MIN_QUIET_MS, MAX_QUIET_MS);
@@ -107,6 +109,7 @@
         12 + random.nextInt(13),
         3 + random.nextInt(3),
         random.nextDouble() < 0.2 ? 0 : random.nextDouble(0.25),
+        lateCopies,
         random.nextDouble() < CROWD_SHARE_OF_RUNS ? CROWD_CONNECTIONS : 0,
         steps);
   }
--- a/src/test/java/quotagateway/soak/SoakTest.java
+++ b/src/test/java/quotagateway/soak/SoakTest.java
@@ -20,7 +20,7 @@
   @ParameterizedTest
   @ValueSource(longs = {1, 2, 3})
   void seededRunKeepsTheRules(long seed) throws Exception {
-    SoakRun.Result result = SoakCommand.play(seed, SoakTest::command, null);
+    SoakRun.Result result = SoakCommand.play(SoakPlan.draw(seed, false), SoakTest::command, null);
     assertEquals(List.of(), result.violations());
     assertFalse(result.isVoid(), () -> "not run: " + result);
   }
