--- a/src/main/java/quotagateway/backend/Attempt.java
+++ b/src/main/java/quotagateway/backend/Attempt.java
@@ -239,6 +239,16 @@
     return !ended;
   }
 
+  /**
+   * Reserves the memory that streaming needs. Called before {@link #onResponseStart}, until it
+   * returns true.
+   *
+   * @return whether streaming may start
+   */
+  public boolean reserveStreamMemory() {
+    return true;
+  }
+
   /**
    * Called when streaming starts, for a response that is too large to buffer, or that announces no
    * length and is incomplete at a progress check.
--- a/src/main/java/quotagateway/backend/BackendConnection.java
+++ b/src/main/java/quotagateway/backend/BackendConnection.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import java.net.InetSocketAddress;
 import quotagateway.policy.event.Status;
+import quotagateway.transport.BufferMemory;
 import quotagateway.transport.KernelSockets;
 import quotagateway.transport.KernelSockets.UnreadInput;
 import quotagateway.transport.MonotonicClock;
@@ -37,6 +38,7 @@
   private final InetSocketAddress address;
   private final ResponseDecoder decoder;
   private final MonotonicClock clock;
+  private final BufferMemory memory;
   private final IdleConnectionReuse reuse;
   private Channel channel;
   private ResponseReceiver receiver;
@@ -56,6 +58,7 @@
    *
    * @param address the remote address, which stays the same even if the backend moves
    * @param decoder the decoder in the same pipeline
+   * @param memory bounds what responses hold
    * @param reuse records whether reused connections were still alive
    */
   BackendConnection(
@@ -63,18 +66,20 @@
       InetSocketAddress address,
       ResponseDecoder decoder,
       MonotonicClock clock,
+      BufferMemory memory,
       IdleConnectionReuse reuse) {
     this.owner = owner;
     this.address = address;
     this.decoder = decoder;
     this.clock = clock;
+    this.memory = memory;
     this.reuse = reuse;
   }
 
   @Override
   public void handlerAdded(ChannelHandlerContext ctx) {
     channel = ctx.channel();
-    receiver = new ResponseReceiver(channel, clock, this);
+    receiver = new ResponseReceiver(channel, clock, memory, this);
   }
 
   // Idle connections
@@ -147,14 +152,6 @@
     writer.write(clock);
   }
 
-  @Override
-  public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-    Attempt attempt = receiver.attempt();
-    if (attempt != null && channel.isWritable()) {
-      attempt.body().onSinkWritable();
-    }
-  }
-
   // Receiving the response
 
   @Override
--- a/src/main/java/quotagateway/backend/BackendConnectionPool.java
+++ b/src/main/java/quotagateway/backend/BackendConnectionPool.java
@@ -11,6 +11,7 @@
 import quotagateway.endpoint.EndpointState;
 import quotagateway.endpoint.ServingEndpoints;
 import quotagateway.policy.event.Status;
+import quotagateway.transport.BufferMemory;
 import quotagateway.transport.ConnectionBudget;
 import quotagateway.transport.Dialer;
 import quotagateway.transport.MonotonicClock;
@@ -55,6 +56,7 @@
    * @param loop the event loop that runs the pool and its connections
    * @param backendIdleTimeoutMs the time after which the backends close an idle connection
    * @param budget limits connections to backends and from clients together
+   * @param memory limits what responses hold, together with the clients' side
    * @param endpoints the addresses of the serving backends; updated before this pool is notified
    */
   public BackendConnectionPool(
@@ -63,13 +65,14 @@
       Dialer dialer,
       double backendIdleTimeoutMs,
       ConnectionBudget budget,
+      BufferMemory memory,
       ServingEndpoints endpoints) {
     this.loop = loop;
     this.clock = clock;
     this.maxIdleMs = backendIdleTimeoutMs * MAX_IDLE_FRACTION;
     this.budget = budget;
     this.endpoints = endpoints;
-    connector = new BackendConnector(clock, dialer, budget, reuse);
+    connector = new BackendConnector(clock, dialer, budget, memory, reuse);
     PeriodicTask.schedule(loop, IDLE_CHECK_INTERVAL_MS, this::closeExpiredIdle);
   }
 
--- a/src/main/java/quotagateway/backend/BackendConnector.java
+++ b/src/main/java/quotagateway/backend/BackendConnector.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import quotagateway.policy.event.Status;
+import quotagateway.transport.BufferMemory;
 import quotagateway.transport.ConnectionBudget;
 import quotagateway.transport.Dialer;
 import quotagateway.transport.MonotonicClock;
@@ -19,13 +20,19 @@
   private final MonotonicClock clock;
   private final Dialer dialer;
   private final ConnectionBudget budget;
+  private final BufferMemory memory;
   private final IdleConnectionReuse reuse;
 
   BackendConnector(
-      MonotonicClock clock, Dialer dialer, ConnectionBudget budget, IdleConnectionReuse reuse) {
+      MonotonicClock clock,
+      Dialer dialer,
+      ConnectionBudget budget,
+      BufferMemory memory,
+      IdleConnectionReuse reuse) {
     this.clock = clock;
     this.dialer = dialer;
     this.budget = budget;
+    this.memory = memory;
     this.reuse = reuse;
   }
 
@@ -38,7 +45,7 @@
     backend.connectStarted(attempt);
     ResponseDecoder decoder = new ResponseDecoder();
     BackendConnection connection =
-        new BackendConnection(backend, backend.address(), decoder, clock, reuse);
+        new BackendConnection(backend, backend.address(), decoder, clock, memory, reuse);
     ChannelFuture connectFuture =
         dialer.dial(
             backend.address(),
--- a/src/main/java/quotagateway/backend/ReceivedResponse.java
+++ b/src/main/java/quotagateway/backend/ReceivedResponse.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
+import io.netty.buffer.Unpooled;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -9,6 +10,8 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import quotagateway.transport.BufferGrowth;
+import quotagateway.transport.MemoryPool;
 
 /**
  * The response that a connection is receiving: its head, the buffered part of its body, and whether
@@ -32,13 +35,23 @@
   private static final int MAX_INFORMATIONAL_RESPONSES = 16;
 
   private final ByteBufAllocator allocator;
+  private final MemoryPool memory;
   private HttpResponse head;
   private ByteBuf body;
   private boolean complete;
   private int informationalCount;
 
-  ReceivedResponse(ByteBufAllocator allocator) {
+  /** Bytes of the body's buffer that are counted in the pool. */
+  private int countedBytes;
+
+  /**
+   * Creates an empty response.
+   *
+   * @param memory the memory of buffered responses
+   */
+  ReceivedResponse(ByteBufAllocator allocator, MemoryPool memory) {
     this.allocator = allocator;
+    this.memory = memory;
   }
 
   /** Returns the head, or null if it has not been received. */
@@ -89,9 +102,22 @@
     return contentLength(head) > MAX_BUFFERED_BYTES;
   }
 
-  /** Allocates the buffer for a body that is not streamed from the start. */
-  void allocateBody() {
-    body = allocator.buffer((int) contentLength(head));
+  /** Prepares the buffer for the body, which takes memory only for what is received. */
+  void prepareBody() {
+    body = Unpooled.EMPTY_BUFFER;
+  }
+
+  /**
+   * Counts the memory of what has been received of the body. To be called after each read that
+   * leaves a buffered response incomplete; one that is complete after one read is passed on before
+   * anything else is read.
+   *
+   * @return false if too much is held, so that no more of the response may be read
+   */
+  boolean countMemory() {
+    int addedBytes = body.capacity() - countedBytes;
+    countedBytes += addedBytes;
+    return memory.reserve(addedBytes);
   }
 
   /** Returns whether the body including this piece is small enough to buffer. */
@@ -101,12 +127,17 @@
 
   /** Copies a piece of the body, which the caller keeps owning, to the buffer. */
   void append(HttpContent piece) {
+    int bytes = piece.content().readableBytes();
+    if (body.capacity() == 0 && bytes > 0) {
+      body = allocator.buffer(bytes);
+    }
+    BufferGrowth.ensureWritable(body, bytes);
     body.writeBytes(piece.content());
   }
 
   /**
-   * Returns the buffered part of the body, which this object still owns, or null if no buffer was
-   * allocated.
+   * Returns the buffered part of the body, which this object still owns, or null before the head
+   * and after the release of the buffer.
    */
   ByteBuf body() {
     return body;
@@ -130,10 +161,20 @@
   void clear() {
     head = null;
     complete = false;
+    releaseBody();
+  }
+
+  /** Releases the buffered part of the body. */
+  void releaseBody() {
     if (body != null) {
       body.release();
       body = null;
     }
+    int releasedBytes = countedBytes;
+    countedBytes = 0;
+    if (releasedBytes > 0) {
+      memory.release(releasedBytes);
+    }
   }
 
   /** Resets the count of informational responses for the next attempt. */
--- a/src/main/java/quotagateway/backend/RequestBody.java
+++ b/src/main/java/quotagateway/backend/RequestBody.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import java.util.function.IntConsumer;
+import quotagateway.transport.BufferGrowth;
 
 /**
  * The body of a request, passed from its client to a backend. A body of up to {@link
@@ -56,7 +57,7 @@
    * Creates an empty, incomplete body.
    *
    * @param source resumes and pauses reading
-   * @param bufferedBytesListener receives each change in the number of buffered bytes
+   * @param bufferedBytesListener receives each change in the capacity of the buffer, in bytes
    */
   public RequestBody(Source source, IntConsumer bufferedBytesListener) {
     this.source = source;
@@ -81,12 +82,13 @@
       source.setReading(moreWanted);
       return;
     }
-    int added = bytes.readableBytes();
-    if (buffer.capacity() == 0) {
-      buffer = Unpooled.buffer(added);
+    int capacityBefore = buffer.capacity();
+    if (capacityBefore == 0) {
+      buffer = Unpooled.buffer(bytes.readableBytes());
     }
+    BufferGrowth.ensureWritable(buffer, bytes.readableBytes());
     buffer.writeBytes(bytes);
-    bufferedBytesListener.accept(added);
+    bufferedBytesListener.accept(buffer.capacity() - capacityBefore);
     if (exceedsBuffer()) {
       source.setReading(false);
     }
@@ -157,7 +159,7 @@
 
   private ByteBuf takeBuffer() {
     ByteBuf taken = buffer;
-    bufferedBytesListener.accept(-taken.readableBytes());
+    bufferedBytesListener.accept(-taken.capacity());
     buffer = Unpooled.EMPTY_BUFFER;
     return taken;
   }
--- a/src/main/java/quotagateway/backend/RequestWriter.java
+++ b/src/main/java/quotagateway/backend/RequestWriter.java
@@ -3,7 +3,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpRequest;
@@ -15,6 +14,7 @@
 import quotagateway.policy.event.Status;
 import quotagateway.transport.MonotonicClock;
 import quotagateway.transport.ProtocolHeaders;
+import quotagateway.transport.StreamWriter;
 
 /**
  * Writes the request of one attempt to one connection, at once if the body is complete, otherwise
@@ -25,10 +25,12 @@
 
   private final Channel channel;
   private final Attempt attempt;
+  private final StreamWriter output;
 
   RequestWriter(Channel channel, Attempt attempt) {
     this.channel = channel;
     this.attempt = attempt;
+    output = new StreamWriter(channel, this::onProgress);
   }
 
   /** Writes the complete request, or the head and the part of the body received so far. */
@@ -45,10 +47,10 @@
               head.headers(),
               EmptyHttpHeaders.INSTANCE));
     } else {
-      channel.write(
+      output.writeHead(
           new DefaultHttpRequest(HttpVersion.HTTP_1_1, head.method(), head.uri(), head.headers()));
       attempt.body().streamTo(this);
-      channel.flush();
+      output.flush();
     }
   }
 
@@ -65,8 +67,8 @@
   }
 
   private void writeLast(HttpObject last) {
-    channel
-        .writeAndFlush(last)
+    output
+        .write(last)
         .addListener(
             (ChannelFuture written) -> {
               if (written.isSuccess()) {
@@ -80,10 +82,13 @@
 
   @Override
   public boolean writeContent(ByteBuf bytes) {
-    channel
-        .writeAndFlush(new DefaultHttpContent(bytes))
-        .addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
-    return channel.isWritable();
+    return output.writeContent(new DefaultHttpContent(bytes));
+  }
+
+  private void onProgress() {
+    if (!output.isBlocked() && !attempt.hasEnded()) {
+      attempt.body().onSinkWritable();
+    }
   }
 
   @Override
--- a/src/main/java/quotagateway/backend/ResponseDecoder.java
+++ b/src/main/java/quotagateway/backend/ResponseDecoder.java
@@ -1,10 +1,14 @@
 package quotagateway.backend;
 
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.AsciiString;
+import quotagateway.transport.CompactingCumulator;
+import quotagateway.transport.SocketTransport;
 
 /**
  * Decodes the responses on one connection to a backend, and tells whether received bytes are still
@@ -21,7 +25,9 @@
         new HttpDecoderConfig()
             .setMaxInitialLineLength(MAX_STATUS_LINE_BYTES)
             .setMaxHeaderSize(MAX_HEADER_BYTES)
+            .setMaxChunkSize(SocketTransport.MAX_READ_BYTES)
             .setUseRfc9112TransferEncoding(true));
+    setCumulator(CompactingCumulator.INSTANCE);
   }
 
   /** Rejects a response with two framings, which may disagree on where the body ends. */
@@ -55,4 +61,13 @@
   boolean hasUndecodedBytes() {
     return actualReadableBytes() > 0;
   }
+
+  /** Compacts what the reads have left undecoded, which may be a few bytes of a large buffer. */
+  @Override
+  public void channelReadComplete(ChannelHandlerContext ctx) throws Exception {
+    if (CompactingCumulator.isSparse(internalBuffer())) {
+      channelRead(ctx, Unpooled.EMPTY_BUFFER);
+    }
+    super.channelReadComplete(ctx);
+  }
 }
--- a/src/main/java/quotagateway/backend/ResponseReceiver.java
+++ b/src/main/java/quotagateway/backend/ResponseReceiver.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import quotagateway.policy.event.Status;
+import quotagateway.transport.BufferMemory;
 import quotagateway.transport.MonotonicClock;
 
 /**
@@ -27,6 +28,7 @@
 
   private final Channel channel;
   private final Listener listener;
+  private final BufferMemory memory;
   private final ReceivedResponse response;
   private final StalledResponseTimer stallTimer;
 
@@ -39,13 +41,25 @@
   /** Whether data has been decoded after the end of the response. */
   private boolean unsolicitedDataReceived;
 
-  /** Whether reading is paused because the client does not accept more of the response. */
+  /**
+   * Whether reading is paused because the client does not accept more of the response, or because
+   * the memory for the rest of it is missing.
+   */
   private boolean paused;
 
-  ResponseReceiver(Channel channel, MonotonicClock clock, Listener listener) {
+  /** Whether the memory for the rest of the response is missing. */
+  private boolean awaitingMemory;
+
+  /**
+   * Creates a receiver for one connection.
+   *
+   * @param memory bounds what responses hold
+   */
+  ResponseReceiver(Channel channel, MonotonicClock clock, BufferMemory memory, Listener listener) {
     this.channel = channel;
     this.listener = listener;
-    response = new ReceivedResponse(channel.alloc());
+    this.memory = memory;
+    response = new ReceivedResponse(channel.alloc(), memory.buffered());
     stallTimer = new StalledResponseTimer(channel.eventLoop(), clock, this::checkProgress);
   }
 
@@ -83,6 +97,7 @@
   Attempt detachAttempt() {
     Attempt detached = attempt;
     attempt = null;
+    awaitingMemory = false;
     clearResponse();
     response.resetInformationalCount();
     resume();
@@ -120,10 +135,11 @@
   private void onHead(HttpResponse head) {
     if (!response.start(head)) {
       listener.responseMalformed();
-    } else if (response.isTooLargeToBuffer()) {
+      return;
+    }
+    response.prepareBody();
+    if (response.isTooLargeToBuffer()) {
       startStreaming();
-    } else {
-      response.allocateBody();
     }
   }
 
@@ -153,37 +169,103 @@
   /**
    * Starts to stream the response to the client, because it is too large to buffer, or slow enough
    * that the client may be waiting for its first bytes. From then on no other attempt can replace
-   * it.
+   * it. Reading pauses while the memory for it is missing.
    */
   private void startStreaming() {
-    if (!attempt.isWritten() || ResponseClassifier.classify(response.head()) != Status.OK) {
+    if (!isStreamable()) {
       listener.responseMalformed();
-      return;
+    } else if (attempt.reserveStreamMemory()) {
+      streamFromStart();
+    } else {
+      awaitMemory();
     }
+  }
+
+  private boolean isStreamable() {
+    return attempt.isWritten() && ResponseClassifier.classify(response.head()) == Status.OK;
+  }
+
+  private void streamFromStart() {
+    awaitingMemory = false;
+    resume();
     boolean wanted = attempt.startResponse(response.head());
     if (attempt == null) {
       return;
     }
-    ByteBuf bufferedBody = response.body();
     if (!wanted) {
       attempt.abandon(Status.CANCELLED);
-    } else if (bufferedBody != null && bufferedBody.isReadable()) {
+      return;
+    }
+    ByteBuf bufferedBody = response.body();
+    if (bufferedBody.isReadable()) {
       stream(new DefaultHttpContent(bufferedBody));
     }
+    if (!paused) {
+      response.releaseBody();
+    }
+  }
+
+  /**
+   * Pauses reading until there is memory for more of the response. The attempt's timeout limits the
+   * pause.
+   */
+  private void awaitMemory() {
+    if (awaitingMemory) {
+      return;
+    }
+    awaitingMemory = true;
+    pause();
+    Attempt waitingAttempt = attempt;
+    memory.buffered().whenReleased(() -> attempt != waitingAttempt || resumeIfMemoryAvailable());
+    memory.streams().whenReleased(() -> attempt != waitingAttempt || resumeIfMemoryAvailable());
+  }
+
+  /** Returns whether the response does not wait for memory any more. */
+  private boolean resumeIfMemoryAvailable() {
+    if (awaitingMemory && !response.isTooLargeToBuffer() && response.countMemory()) {
+      awaitingMemory = false;
+      resume();
+    } else if (awaitingMemory && isStreamable() && attempt.reserveStreamMemory()) {
+      streamFromStart();
+    }
+    return !awaitingMemory;
+  }
+
+  /**
+   * Counts the memory of a response that is still incomplete after a read. If too much is held, the
+   * response is streamed where that is possible, or not read any further for now.
+   */
+  private void secureMemory() {
+    if (awaitingMemory || attempt.hasResponseStarted() || response.countMemory()) {
+      return;
+    }
+    if (isStreamable() && attempt.reserveStreamMemory()) {
+      streamFromStart();
+    } else {
+      awaitMemory();
+    }
   }
 
   private void stream(HttpContent content) {
     boolean moreWanted = attempt.onResponseContent(content);
     if (!moreWanted && attempt != null && !(content instanceof LastHttpContent)) {
-      paused = true;
-      channel.config().setAutoRead(false);
+      pause();
     }
   }
 
-  /** Resumes reading after a pause for back pressure from the client. */
+  private void pause() {
+    paused = true;
+    channel.config().setAutoRead(false);
+  }
+
+  /** Resumes reading after a pause, unless memory is missing. */
   void resume() {
-    if (paused) {
+    if (paused && !awaitingMemory) {
       paused = false;
+      if (attempt != null && attempt.hasResponseStarted()) {
+        // The part that was buffered before the response was streamed has gone to the client.
+        response.releaseBody();
+      }
       stallTimer.recordProgress();
       channel.config().setAutoRead(true);
     }
@@ -200,6 +282,9 @@
       stallTimer.recordProgress();
       stallTimer.ensureScheduled();
     }
+    if (response.hasHead()) {
+      secureMemory();
+    }
   }
 
   private void checkProgress() {
@@ -222,9 +307,7 @@
   private boolean mayBeIntentionallySlow() {
     return !attempt.hasResponseStarted()
         && response.hasHead()
-        && response.body() != null
         && !HttpUtil.isContentLengthSet(response.head())
-        && attempt.isWritten()
-        && ResponseClassifier.classify(response.head()) == Status.OK;
+        && isStreamable();
   }
 }
--- a/src/main/java/quotagateway/client/ClientConnection.java
+++ b/src/main/java/quotagateway/client/ClientConnection.java
@@ -1,6 +1,5 @@
 package quotagateway.client;
 
-import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
@@ -59,7 +58,7 @@
     this.context = context;
     this.connections = connections;
     assembler = new RequestAssembler(channel, context, this);
-    writer = new ResponseWriter(channel, context);
+    writer = new ResponseWriter(channel, context, this::onClientReads);
     closer = new ConnectionCloser(channel, context, assembler, writer, this);
     timeouts = new ConnectionTimeouts(context, assembler, writer, closer, this);
   }
@@ -97,14 +96,12 @@
     }
   }
 
-  @Override
-  public void channelWritabilityChanged(ChannelHandlerContext ctx) {
-    if (channel.isWritable()) {
-      writer.clearStall();
-      if (exchange != null) {
-        exchange.resume();
-      }
+  /** Called when the client's socket has taken everything that was written. */
+  private void onClientReads() {
+    if (exchange != null) {
+      exchange.resume();
     }
+    scheduleNextRequest();
   }
 
   @Override
@@ -198,9 +195,13 @@
    * first; otherwise the requests of disconnected clients would leave no time for those of others.
    * The drawback is that a client that ends its sending before it has received its response gets
    * none, as is already the case when it does so later.
+   *
+   * <p>The next request waits until the client's socket has taken the response before it. Otherwise
+   * a client that sends many requests at once and reads slowly would have a response to each of
+   * them held in memory.
    */
   private void scheduleNextRequest() {
-    if (!nextRequestScheduled && !hasOpenExchange() && !queue.isEmpty()) {
+    if (!nextRequestScheduled && !hasOpenExchange() && !writer.isBlocked() && !queue.isEmpty()) {
       nextRequestScheduled = true;
       channel.eventLoop().execute(this::startNextRequest);
     }
@@ -262,14 +263,13 @@
    * connection.
    */
   void onStreamEnded(boolean complete, boolean keepAlive) {
-    writer.clearStall();
     timeouts.restartIdleTime();
     if (!complete) {
       closer.reset();
     } else if (keepAlive) {
       scheduleNextRequest();
     } else {
-      closeAfter(channel.writeAndFlush(Unpooled.EMPTY_BUFFER));
+      closeAfter(writer.lastWrite());
     }
   }
 
--- a/src/main/java/quotagateway/client/ClientContext.java
+++ b/src/main/java/quotagateway/client/ClientContext.java
@@ -2,10 +2,12 @@
 
 import io.netty.handler.codec.http.HttpRequest;
 import quotagateway.backend.BackendConnectionPool;
+import quotagateway.backend.RequestBody;
 import quotagateway.config.ResourceLimits;
 import quotagateway.driver.PolicyDriver;
 import quotagateway.lifecycle.Lifecycle;
 import quotagateway.policy.event.RequestReceived;
+import quotagateway.transport.BufferMemory;
 import quotagateway.transport.MonotonicClock;
 
 /**
@@ -25,6 +27,7 @@
   private final PolicyDriver driver;
   private final BackendConnectionPool backends;
   private final ResourceLimits limits;
+  private final BufferMemory memory;
   private final Lifecycle lifecycle;
   private RequestReader reader;
   private RequestReader previousReader;
@@ -44,12 +47,14 @@
       BackendConnectionPool backends,
       RequestReader reader,
       ResourceLimits limits,
+      BufferMemory memory,
       Lifecycle lifecycle) {
     this.clock = clock;
     this.driver = driver;
     this.backends = backends;
     this.reader = reader;
     this.limits = limits;
+    this.memory = memory;
     this.lifecycle = lifecycle;
   }
 
@@ -97,14 +102,20 @@
     heldBytes += bytes;
   }
 
+  /** Returns the memory of what passes between clients and backends. */
+  BufferMemory memory() {
+    return memory;
+  }
+
   /**
-   * Returns whether requests are rejected because too many bytes are held or too many responses are
-   * streamed. Without this, the process could exceed its memory limit and be killed with all its
-   * requests.
+   * Returns whether requests are rejected because too much memory is held by requests, by streamed
+   * bodies or by responses that clients have not read. Without this, the process could exceed its
+   * memory limit and be killed with all its requests.
    */
   boolean isMemoryExhausted() {
     return heldBytes >= limits.maxBodyBytes()
-        || driver.streamingResponseCount() >= limits.maxStreams();
+        || !memory.streams().hasRoomFor(BufferMemory.STREAM_BYTES)
+        || !memory.unread().hasRoomFor(RequestBody.MAX_BUFFERED_BYTES);
   }
 
   /**
--- a/src/main/java/quotagateway/client/ClientServer.java
+++ b/src/main/java/quotagateway/client/ClientServer.java
@@ -17,6 +17,7 @@
 import quotagateway.config.ResourceLimits;
 import quotagateway.driver.PolicyDriver;
 import quotagateway.lifecycle.Lifecycle;
+import quotagateway.transport.BufferMemory;
 import quotagateway.transport.ConnectionBudget;
 import quotagateway.transport.KernelSockets;
 import quotagateway.transport.MonotonicClock;
@@ -47,6 +48,7 @@
    * @param reader applies the settings in force at the start
    * @param limits bounds what requests may hold
    * @param budget shared by connections of clients and to backends
+   * @param memory shared with the connections to backends
    */
   public ClientServer(
       EventLoop loop,
@@ -56,8 +58,9 @@
       RequestReader reader,
       ResourceLimits limits,
       ConnectionBudget budget,
+      BufferMemory memory,
       Lifecycle lifecycle) {
-    context = new ClientContext(clock, driver, backends, reader, limits, lifecycle);
+    context = new ClientContext(clock, driver, backends, reader, limits, memory, lifecycle);
     connections = new ClientConnections(loop, context, budget);
   }
 
@@ -71,8 +74,6 @@
             .option(ChannelOption.SO_REUSEADDR, true)
             .option(SocketTransport.PREFERRED.reusePort(), true)
             .childOption(ChannelOption.TCP_NODELAY, true)
-            .childOption(
-                ChannelOption.WRITE_BUFFER_WATER_MARK, SocketTransport.WRITE_BUFFER_WATER_MARK)
             .childOption(ChannelOption.SO_SNDBUF, SocketTransport.SEND_BUFFER_BYTES)
             .childOption(ChannelOption.RECVBUF_ALLOCATOR, SocketTransport.boundedReads())
             .childHandler(
--- a/src/main/java/quotagateway/client/Exchange.java
+++ b/src/main/java/quotagateway/client/Exchange.java
@@ -17,6 +17,7 @@
 import quotagateway.backend.Attempt;
 import quotagateway.driver.ResponseListener;
 import quotagateway.policy.event.RequestReceived;
+import quotagateway.transport.BufferMemory;
 import quotagateway.transport.ProtocolHeaders;
 
 /**
@@ -73,6 +74,9 @@
   /** Null until the request has been read. */
   private String requestId;
 
+  /** Whether memory is reserved for a body or response of this exchange that is streamed. */
+  private boolean streamMemoryReserved;
+
   /** Attempt whose response is being streamed; null unless the response is streamed. */
   private Attempt streamedAttempt;
 
@@ -161,10 +165,14 @@
       respond(ResponseWriter.text(e.status(), e.getMessage()));
       return;
     }
+    boolean complete = request.body().isComplete();
+    if (!complete && !reserveStreamMemory()) {
+      respond(ResponseWriter.rejection(0));
+      return;
+    }
     request.accept(received.deadlineAtMs() - request.lastByteAtMs());
     requestId = received.requestId();
     state = State.FORWARDED;
-    boolean complete = request.body().isComplete();
     context
         .driver()
         .accept(
@@ -229,6 +237,17 @@
   private void end() {
     state = State.ENDED;
     streamedAttempt = null;
+    if (streamMemoryReserved) {
+      writer.whenUnblocked(this::releaseStreamMemory);
+    }
+  }
+
+  /** Returns the memory once the client's socket has taken the end of the response, or closed. */
+  private void releaseStreamMemory() {
+    if (streamMemoryReserved) {
+      streamMemoryReserved = false;
+      context.memory().streams().release(BufferMemory.STREAM_BYTES);
+    }
   }
 
   /** Called when the connection has closed; no response can be written any more. */
@@ -275,6 +294,14 @@
     respond(ResponseWriter.forwarded(backendResponse));
   }
 
+  @Override
+  public boolean reserveStreamMemory() {
+    if (!streamMemoryReserved && state != State.ENDED) {
+      streamMemoryReserved = context.memory().streams().tryReserve(BufferMemory.STREAM_BYTES);
+    }
+    return streamMemoryReserved || state == State.ENDED;
+  }
+
   @Override
   public void onResponseStart(HttpResponse backendResponse, Attempt attempt) {
     state = State.STREAMING;
--- a/src/main/java/quotagateway/client/RequestDecoder.java
+++ b/src/main/java/quotagateway/client/RequestDecoder.java
@@ -1,8 +1,11 @@
 package quotagateway.client;
 
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequestDecoder;
+import quotagateway.transport.CompactingCumulator;
 
 /**
  * Decodes the requests of one client connection. A message that two parsers could frame differently
@@ -24,6 +27,7 @@
             .setMaxHeaderSize(MAX_HEADER_BYTES)
             .setMaxChunkSize(MAX_CHUNK_BYTES)
             .setUseRfc9112TransferEncoding(true));
+    setCumulator(CompactingCumulator.INSTANCE);
   }
 
   /**
@@ -39,4 +43,13 @@
   boolean hasMoreBytes() {
     return actualReadableBytes() > 0;
   }
+
+  /** Compacts what the reads have left undecoded, which may be a few bytes of a large buffer. */
+  @Override
+  public void channelReadComplete(ChannelHandlerContext ctx) throws Exception {
+    if (CompactingCumulator.isSparse(internalBuffer())) {
+      channelRead(ctx, Unpooled.EMPTY_BUFFER);
+    }
+    super.channelReadComplete(ctx);
+  }
 }
--- a/src/main/java/quotagateway/client/ResponseWriter.java
+++ b/src/main/java/quotagateway/client/ResponseWriter.java
@@ -16,6 +16,8 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
+import quotagateway.transport.MemoryPool;
+import quotagateway.transport.StreamWriter;
 
 /**
  * Builds responses and writes them to one client, either complete or streamed with back pressure:
@@ -24,15 +26,22 @@
  */
 final class ResponseWriter {
 
-  private final Channel channel;
   private final ClientContext context;
+  private final Runnable unblockedListener;
+  private final StreamWriter output;
 
-  /** Since when the client has not been reading a streamed response, in milliseconds, or NaN. */
+  /** Since when the client's socket has not taken what was written, in milliseconds, or NaN. */
   private double stalledSinceMs = Double.NaN;
 
-  ResponseWriter(Channel channel, ClientContext context) {
-    this.channel = channel;
+  /**
+   * Creates a writer for one connection.
+   *
+   * @param unblockedListener called when the client's socket has taken everything again
+   */
+  ResponseWriter(Channel channel, ClientContext context, Runnable unblockedListener) {
     this.context = context;
+    this.unblockedListener = unblockedListener;
+    output = new StreamWriter(channel, this::onProgress);
   }
 
   /** Returns a response without a body. */
@@ -108,11 +117,37 @@
     }
   }
 
-  /** Writes a complete response and takes ownership of it. */
+  /**
+   * Writes a complete response and takes ownership of it. Its memory counts as held until the
+   * client's socket has taken the response.
+   */
   ChannelFuture write(FullHttpResponse response, boolean keepAlive, HttpVersion clientVersion) {
     response.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
     setConnectionHeader(response, keepAlive, clientVersion);
-    return channel.writeAndFlush(response);
+    int heldBytes = response.content().capacity();
+    ChannelFuture written = output.write(response);
+    if (!written.isDone()) {
+      MemoryPool memory = context.memory().unread();
+      memory.reserve(heldBytes);
+      written.addListener(done -> memory.release(heldBytes));
+    }
+    watchStall();
+    return written;
+  }
+
+  /** Returns whether the client's socket has not taken everything that was written. */
+  boolean isBlocked() {
+    return output.isBlocked();
+  }
+
+  /** Runs a task once the client's socket has taken everything that was written, or is closed. */
+  void whenUnblocked(Runnable task) {
+    output.whenUnblocked(task);
+  }
+
+  /** Returns the future of the last write, or null before the first. */
+  ChannelFuture lastWrite() {
+    return output.lastWrite();
   }
 
   /** Writes the last response of a connection, regardless of which request it answers. */
@@ -123,13 +158,14 @@
 
   /** Sends 100 Continue, so that the client sends the body that it is holding back. */
   void writeContinue() {
-    channel.writeAndFlush(empty(HttpResponseStatus.CONTINUE));
+    output.write(empty(HttpResponseStatus.CONTINUE));
   }
 
   /** Writes the head of a streamed response. */
   void writeStreamHead(HttpResponse head, boolean keepAlive, HttpVersion clientVersion) {
     setConnectionHeader(head, keepAlive, clientVersion);
-    channel.writeAndFlush(head);
+    output.write(head);
+    watchStall();
   }
 
   /**
@@ -138,19 +174,29 @@
    * @return false while the client accepts no more
    */
   boolean writeContent(HttpContent content) {
-    channel.writeAndFlush(content.retain());
-    if (!channel.isWritable() && Double.isNaN(stalledSinceMs)) {
+    boolean moreAccepted = output.writeContent(content.retain());
+    watchStall();
+    return moreAccepted;
+  }
+
+  private void watchStall() {
+    if (!isBlocked()) {
+      stalledSinceMs = Double.NaN;
+    } else if (Double.isNaN(stalledSinceMs)) {
       stalledSinceMs = context.now();
     }
-    return channel.isWritable();
   }
 
-  /** Clears the stall: the client reads more, or the streamed response has ended. */
-  void clearStall() {
+  /** Called when the client's socket has taken a write that had to wait. */
+  private void onProgress() {
     stalledSinceMs = Double.NaN;
+    watchStall();
+    if (!isBlocked()) {
+      unblockedListener.run();
+    }
   }
 
-  /** Returns whether the client has not been reading a streamed response for too long. */
+  /** Returns whether the client has not been reading its response for too long. */
   boolean isStalledTooLong(double nowMs) {
     return nowMs - stalledSinceMs > RequestLimits.MAX_STALL_MS;
   }
--- a/src/main/java/quotagateway/config/ResourceLimits.java
+++ b/src/main/java/quotagateway/config/ResourceLimits.java
@@ -1,5 +1,7 @@
 package quotagateway.config;
 
+import quotagateway.transport.SocketTransport;
+
 /**
  * Resource limits of the process, derived from the limits in its configuration. This class alone
  * divides the file descriptors among all kinds of sockets.
@@ -12,7 +14,7 @@
  * @param maxConnectionsDuringUpgrade the same limit while a second process with the same limits
  *     runs in parallel
  * @param maxBodyBytes most bytes of request bodies that may be held in memory
- * @param maxStreams most responses that may be streamed at a time
+ * @param maxBufferBytes most memory of what passes between clients and backends
  * @param maxEndpoints most endpoints that an endpoint list may name
  * @param cores processor cores available to the process; may be a fraction
  */
@@ -20,7 +22,7 @@
     int maxConnections,
     int maxConnectionsDuringUpgrade,
     int maxBodyBytes,
-    int maxStreams,
+    long maxBufferBytes,
     int maxEndpoints,
     double cores) {
 
@@ -64,10 +66,7 @@
 
   private static final int BYTES_PER_MB = 1 << 20;
   private static final double BODY_MEMORY_SHARE = 1.0 / 16;
-  private static final double STREAM_MEMORY_SHARE = 1.0 / 8;
-
-  /** Most bytes of one body or response in transfer that are waiting or being read. */
-  private static final int MAX_STREAM_BYTES = 64 * 1024;
+  private static final double BUFFER_MEMORY_SHARE = 1.0 / 8;
 
   private static final double ENDPOINT_MEMORY_SHARE = 1.0 / 6;
   private static final double ENDPOINT_HEAP_SHARE = 2.0 / 3;
@@ -95,11 +94,15 @@
             - SPARE_DESCRIPTORS;
     int connectionsDuringUpgrade =
         totalDescriptors / 2 - PROCESS_DESCRIPTORS - CONTROL_CONNECTIONS / 2 - ADMIN_DESCRIPTORS;
+    double bufferBytes =
+        Math.min(
+            memoryMb * BUFFER_MEMORY_SHARE * BYTES_PER_MB,
+            (double) SocketTransport.maxBufferBytes());
     return new ResourceLimits(
         Math.max(MIN_CONNECTIONS, connections),
         Math.max(MIN_CONNECTIONS, connectionsDuringUpgrade),
         (int) (memoryMb * BODY_MEMORY_SHARE * BYTES_PER_MB),
-        (int) (memoryMb * STREAM_MEMORY_SHARE * BYTES_PER_MB / MAX_STREAM_BYTES),
+        (long) bufferBytes,
         maxEndpoints(memoryMb, (double) Runtime.getRuntime().maxMemory()),
         cores);
   }
--- a/src/main/java/quotagateway/driver/AttemptStarter.java
+++ b/src/main/java/quotagateway/driver/AttemptStarter.java
@@ -110,6 +110,11 @@
       return super.endUnlessWanted();
     }
 
+    @Override
+    public boolean reserveStreamMemory() {
+      return request.listener.reserveStreamMemory();
+    }
+
     @Override
     public boolean onResponseStart(HttpResponse response) {
       streamedChargedUnits = chargedUnits(response);
--- a/src/main/java/quotagateway/driver/ResponseListener.java
+++ b/src/main/java/quotagateway/driver/ResponseListener.java
@@ -27,6 +27,14 @@
    */
   void onResponse(FullHttpResponse response);
 
+  /**
+   * Reserves the memory of a streamed response, unless it is reserved already or the response is no
+   * longer wanted.
+   *
+   * @return false if too much memory is held; the response may then not be streamed yet
+   */
+  boolean reserveStreamMemory();
+
   /**
    * Called when a streamed response starts.
    *
--- a/src/main/java/quotagateway/server/RequestPath.java
+++ b/src/main/java/quotagateway/server/RequestPath.java
@@ -8,6 +8,7 @@
 import quotagateway.driver.PolicyDriver;
 import quotagateway.lifecycle.Lifecycle;
 import quotagateway.policy.GatewayPolicy;
+import quotagateway.transport.BufferMemory;
 import quotagateway.transport.ConnectionBudget;
 import quotagateway.transport.Dialer;
 import quotagateway.transport.MonotonicClock;
@@ -37,9 +38,16 @@
       ConnectionBudget budget,
       Lifecycle lifecycle) {
     GatewayPolicy policy = new GatewayPolicy(config.settings(), seed);
+    BufferMemory memory = BufferMemory.of(config.limits().maxBufferBytes());
     BackendConnectionPool backendPool =
         new BackendConnectionPool(
-            loop, clock, backendDialer, config.idleTimeoutMs(), budget, policy.servingEndpoints());
+            loop,
+            clock,
+            backendDialer,
+            config.idleTimeoutMs(),
+            budget,
+            memory,
+            policy.servingEndpoints());
     PolicyDriver driver = new PolicyDriver(loop, clock, policy, backendPool);
     ClientServer clients =
         new ClientServer(
@@ -50,6 +58,7 @@
             new RequestReader(config.settings()),
             config.limits(),
             budget,
+            memory,
             lifecycle);
     return new RequestPath(driver, clients);
   }
--- a/src/main/java/quotagateway/transport/Dialer.java
+++ b/src/main/java/quotagateway/transport/Dialer.java
@@ -46,7 +46,6 @@
             .group(loop)
             .channel(SocketTransport.PREFERRED.socket())
             .option(ChannelOption.TCP_NODELAY, true)
-            .option(ChannelOption.WRITE_BUFFER_WATER_MARK, SocketTransport.WRITE_BUFFER_WATER_MARK)
             .option(ChannelOption.SO_SNDBUF, SocketTransport.SEND_BUFFER_BYTES)
             .option(ChannelOption.RECVBUF_ALLOCATOR, reads)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.ceil(connectTimeoutMs));
--- a/src/main/java/quotagateway/transport/SocketTransport.java
+++ b/src/main/java/quotagateway/transport/SocketTransport.java
@@ -4,7 +4,6 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.RecvByteBufAllocator;
-import io.netty.channel.WriteBufferWaterMark;
 import io.netty.channel.epoll.Epoll;
 import io.netty.channel.epoll.EpollChannelOption;
 import io.netty.channel.epoll.EpollServerSocketChannel;
@@ -15,6 +14,7 @@
 import io.netty.channel.socket.nio.NioChannelOption;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.internal.PlatformDependent;
 import java.net.StandardSocketOptions;
 
 /**
@@ -36,13 +36,6 @@
   /** Native epoll if it is available on this machine, otherwise NIO. */
   public static final SocketTransport PREFERRED = Epoll.isAvailable() ? epoll() : nio();
 
-  /**
-   * Limits the bytes that wait in this process to be written to one peer. Above the high-water mark
-   * the source of a large request or response body is not read until the low-water mark is reached.
-   */
-  public static final WriteBufferWaterMark WRITE_BUFFER_WATER_MARK =
-      new WriteBufferWaterMark(16 * 1024, 32 * 1024);
-
   /**
    * Limits what the kernel buffers for a peer that reads slowly. The kernel reports a socket as
    * writable only when a third of its send buffer is free, and by default lets the buffer grow to
@@ -54,8 +47,14 @@
   private static final int MIN_READ_BYTES = 1_024;
   private static final int INITIAL_READ_BYTES = 2_048;
 
-  /** Limits one read, so that data waiting to be written does not retain larger buffers. */
-  private static final int MAX_READ_BYTES = 32 * 1_024;
+  /** Limits one read, and with it what is received and not passed on yet. */
+  public static final int MAX_READ_BYTES = 16 * 1_024;
+
+  /**
+   * Share of the direct memory that buffers between clients and backends may hold. The rest is for
+   * reads, for the counter, discovery and the operators, and for what the allocator leaves unused.
+   */
+  private static final double BUFFER_SHARE = 0.75;
 
   private static SocketTransport epoll() {
     return new SocketTransport(
@@ -73,8 +72,13 @@
         NioChannelOption.of(StandardSocketOptions.SO_REUSEPORT));
   }
 
-  /** Returns an allocator that adapts the size of reads to previous reads, up to 32 KiB each. */
+  /** Returns an allocator that adapts the size of reads to previous reads, up to 16 KiB each. */
   public static RecvByteBufAllocator boundedReads() {
     return new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES);
   }
+
+  /** Returns how many bytes of direct memory buffers between clients and backends may hold. */
+  public static long maxBufferBytes() {
+    return (long) (PlatformDependent.maxDirectMemory() * BUFFER_SHARE);
+  }
 }
--- a/src/main/java/quotagateway/transport/package-info.java
+++ b/src/main/java/quotagateway/transport/package-info.java
@@ -1,2 +1,4 @@
-/** Sockets, timers, connection limits and the clock, shared by the code for all peers. */
+/**
+ * Sockets, timers, connection and memory limits and the clock, shared by the code for all peers.
+ */
 package quotagateway.transport;
--- a/src/test/java/quotagateway/backend/BackendConnectionPoolTest.java
+++ b/src/test/java/quotagateway/backend/BackendConnectionPoolTest.java
@@ -44,6 +44,7 @@
 import quotagateway.endpoint.EndpointState;
 import quotagateway.policy.event.Status;
 import quotagateway.testing.TestQueues;
+import quotagateway.transport.BufferMemory;
 import quotagateway.transport.ConnectionBudget;
 import quotagateway.transport.Dialer;
 import quotagateway.transport.MonotonicClock;
@@ -86,6 +87,7 @@
             Dialer.sockets(loop, 5_000),
             10_000,
             new ConnectionBudget(maxConnections),
+            BufferMemory.unlimited(),
             new SingleEndpoint(port));
     pool.onEndpointsUpdated(snapshot());
     return pool;
@@ -170,6 +172,7 @@
             },
             10_000,
             new ConnectionBudget(100),
+            BufferMemory.unlimited(),
             new SingleEndpoint(1));
     pool.onEndpointsUpdated(snapshot());
     return pool;
@@ -221,6 +224,7 @@
                         Dialer.sockets(loop, 5_000),
                         10_000,
                         new ConnectionBudget(100),
+                        BufferMemory.unlimited(),
                         new SingleEndpoint(server.getLocalPort()));
                 pool.onEndpointsUpdated(snapshot());
                 pool.start(1, attempt(60_000), 20_000);
@@ -262,6 +266,7 @@
                         smallBuffers,
                         10_000,
                         new ConnectionBudget(100),
+                        BufferMemory.unlimited(),
                         new SingleEndpoint(server.getLocalPort()));
                 pool.onEndpointsUpdated(snapshot());
                 DefaultHttpRequest head =
@@ -401,6 +406,7 @@
             },
             10_000,
             new ConnectionBudget(1),
+            BufferMemory.unlimited(),
             new SingleEndpoint(1));
     pool.onEndpointsUpdated(snapshot());
     pool.start(1, attempt(5_000), NO_WRITE_LIMIT);
@@ -547,6 +553,7 @@
                           Dialer.sockets(loop, 5_000),
                           10_000,
                           new ConnectionBudget(100),
+                          BufferMemory.unlimited(),
                           index))
               .sync()
               .getNow();
--- a/src/test/java/quotagateway/backend/StalledResponseTest.java
+++ b/src/test/java/quotagateway/backend/StalledResponseTest.java
@@ -22,6 +22,7 @@
 import quotagateway.endpoint.Endpoint;
 import quotagateway.endpoint.EndpointState;
 import quotagateway.policy.event.Status;
+import quotagateway.transport.BufferMemory;
 import quotagateway.transport.ConnectionBudget;
 import quotagateway.transport.MonotonicClock;
 
@@ -51,6 +52,7 @@
             },
             10_000,
             new ConnectionBudget(100),
+            BufferMemory.unlimited(),
             new SingleEndpoint(1));
     Endpoint endpoint = new Endpoint(1, "a", 0, EndpointState.SERVING, 1, 0);
     pool.onEndpointsUpdated(new EndpointUpdate(1, true, List.of(endpoint)));
--- a/src/test/java/quotagateway/config/ResourceLimitsDivisionTest.java
+++ b/src/test/java/quotagateway/config/ResourceLimitsDivisionTest.java
@@ -1,9 +1,12 @@
 package quotagateway.config;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import org.junit.jupiter.api.Test;
+import quotagateway.transport.BufferMemory;
+import quotagateway.transport.MemoryPool;
 
 /** Tests how the limits of a process are divided among its resources. */
 class ResourceLimitsDivisionTest {
@@ -32,7 +35,10 @@
   void bodyAndStreamLimitsAreSharesOfMemory() {
     ResourceLimits limits = ResourceLimits.of(1024, 128, 1);
     assertEquals(8 << 20, limits.maxBodyBytes());
-    assertEquals((16 << 20) / (64 * 1024), limits.maxStreams());
+    assertEquals(16 << 20, limits.maxBufferBytes());
+    MemoryPool streams = BufferMemory.of(limits.maxBufferBytes()).streams();
+    assertTrue(streams.hasRoomFor((16 << 20) / (64 * 1024) * BufferMemory.STREAM_BYTES));
+    assertFalse(streams.hasRoomFor((16 << 20) / (64 * 1024) * BufferMemory.STREAM_BYTES + 1));
   }
 
   /**
--- a/src/test/java/quotagateway/driver/ConcurrentEventsTest.java
+++ b/src/test/java/quotagateway/driver/ConcurrentEventsTest.java
@@ -48,6 +48,7 @@
 import quotagateway.testing.TestRequests;
 import quotagateway.testing.TextStreams;
 import quotagateway.transport.BackendAddress;
+import quotagateway.transport.BufferMemory;
 import quotagateway.transport.ConnectionBudget;
 import quotagateway.transport.Dialer;
 import quotagateway.transport.MonotonicClock;
@@ -135,6 +136,7 @@
                 Dialer.sockets(loop, 5_000),
                 10_000,
                 new ConnectionBudget(100),
+                BufferMemory.unlimited(),
                 policy.servingEndpoints()));
     driver.start(null, endpointUpdate(true, 1, firstBackend, EndpointState.SERVING, 0));
   }
@@ -160,6 +162,11 @@
             responses.add("complete response");
           }
 
+          @Override
+          public boolean reserveStreamMemory() {
+            return true;
+          }
+
           @Override
           public void onResponseStart(HttpResponse responseHead, Attempt attempt) {
             responses.add("response started");
