--- a/src/main/java/quotagateway/client/ClientConnection.java
+++ b/src/main/java/quotagateway/client/ClientConnection.java
@@ -98,6 +98,7 @@
 
   /** Called when the client's socket has taken everything that was written. */
   private void onClientReads() {
+    timeouts.restartIdleTime();
     if (exchange != null) {
       exchange.resume();
     }
@@ -143,6 +144,11 @@
     return !hasOpenExchange() && queue.isEmpty();
   }
 
+  @Override
+  public boolean hasPendingResponse() {
+    return !isIdle() || writer.isBlocked();
+  }
+
   /**
    * {@inheritDoc}
    *
@@ -266,7 +272,7 @@
     timeouts.restartIdleTime();
     if (!complete) {
       closer.reset();
-    } else if (keepAlive) {
+    } else if (keepAlive && !(assembler.hasPipelineOverflowed() && queue.isEmpty())) {
       scheduleNextRequest();
     } else {
       closeAfter(writer.lastWrite());
--- a/src/main/java/quotagateway/client/ClientConnections.java
+++ b/src/main/java/quotagateway/client/ClientConnections.java
@@ -68,6 +68,11 @@
     return connections.isEmpty();
   }
 
+  /** Returns whether any client is owed a response or the rest of one. */
+  boolean hasPendingResponses() {
+    return connections.stream().anyMatch(ClientConnection::hasPendingResponse);
+  }
+
   /** Returns whether a connection that is kept alive is likely to keep another client out. */
   boolean isCrowded() {
     return budget.clientConnections() > CROWDED_SHARE * budget.maxClientConnections();
--- a/src/main/java/quotagateway/client/ClientServer.java
+++ b/src/main/java/quotagateway/client/ClientServer.java
@@ -154,7 +154,7 @@
   /**
    * Ends the service at the final timeout of the shutdown: unanswered requests fail, and each
    * connection is closed, after an error if part of a request has been received. A connection with
-   * a streamed response is not closed before the response has ended.
+   * a pending response is not closed before the client's socket has taken all of it.
    */
   public void shutDown() {
     context.shutDown();
@@ -162,6 +162,14 @@
     connections.closeAllForShutdown();
   }
 
+  /**
+   * Returns whether any client is owed a response or the rest of one, including what its socket has
+   * not taken yet.
+   */
+  public boolean hasPendingResponses() {
+    return connections.hasPendingResponses();
+  }
+
   /** Returns whether no client is connected. */
   public boolean hasNoConnections() {
     return connections.isEmpty();
--- a/src/main/java/quotagateway/client/ConnectionCloser.java
+++ b/src/main/java/quotagateway/client/ConnectionCloser.java
@@ -3,7 +3,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
-import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.concurrent.TimeUnit;
 import quotagateway.transport.KernelSockets;
@@ -34,6 +34,12 @@
   /** The requests of the connection, as far as closing depends on them. */
   interface PendingRequests {
 
+    /**
+     * Returns whether the client is owed a response: a request is open or waits for its turn, or
+     * the client's socket has not taken all of a response.
+     */
+    boolean hasPendingResponse();
+
     /** Returns whether no request is open or waits for its turn. */
     boolean isIdle();
 
@@ -74,12 +80,15 @@
   }
 
   /**
-   * Closes the connection if no complete request is open or queued. The client of a partly received
-   * request gets no error. While the gateway drains, a connection with an open request is closed by
-   * its response instead.
+   * Closes the connection if no response is pending. The client of a partly received request gets
+   * no error. While the gateway drains, a connection with an open request is closed by its response
+   * instead.
+   *
+   * <p>A response is pending until its last byte has gone to the socket. Closing the channel
+   * earlier would drop the rest of it.
    */
   void closeIfIdle() {
-    if (requests.isIdle() && !closing) {
+    if (!requests.hasPendingResponse() && !closing) {
       closing = true;
       channel.close();
     }
@@ -91,7 +100,7 @@
    * linger, because its place is needed immediately.
    */
   void closeToMakeRoom() {
-    if (requests.isIdle() && !closing && assembler.isReceivingRequest()) {
+    if (!requests.hasPendingResponse() && !closing && assembler.isReceivingRequest()) {
       closing = true;
       requests.discardRequests();
       writer
@@ -165,8 +174,8 @@
    * Ends sending after the last response and continues to read (lingering close). Without this, the
    * response could be lost: closing a connection that has unread bytes resets it, and the reset
    * discards what the client has not read yet. The drawback is that the connection is held for
-   * {@link #LINGER_MS}, or, while the body of a queued request is being received, for as long as
-   * more of it arrives, up to {@link #MAX_LINGER_MS}.
+   * {@link #LINGER_MS} after the response, or, while the body of a queued request is being
+   * received, for as long as more of it arrives, up to {@link #MAX_LINGER_MS}.
    */
   private void linger(ChannelFuture writeFuture) {
     double maxLingerUntilMs = context.now() + MAX_LINGER_MS;
@@ -176,8 +185,13 @@
             ? maxLingerUntilMs
             : CLOSE_AT_FIRST_CHECK;
     assembler.setReading(true);
-    writeFuture.addListener(future -> ((SocketChannel) channel).shutdownOutput());
-    scheduleLingerCheck(lingerUntilMs);
+    writeFuture.addListener(
+        written -> {
+          if (channel instanceof DuplexChannel socket) {
+            socket.shutdownOutput();
+          }
+          scheduleLingerCheck(lingerUntilMs);
+        });
   }
 
   private void scheduleLingerCheck(double lingerUntilMs) {
--- a/src/main/java/quotagateway/client/ConnectionTimeouts.java
+++ b/src/main/java/quotagateway/client/ConnectionTimeouts.java
@@ -31,6 +31,9 @@
   /** The activity of the connection that the time limits depend on. */
   interface Activity {
 
+    /** Returns whether the client is owed a response or the rest of one. */
+    boolean hasPendingResponse();
+
     /** Returns whether a request is open, that is, its response is not complete. */
     boolean hasOpenExchange();
 
@@ -79,7 +82,7 @@
    * favor of another client.
    */
   boolean isEvictable(double nowMs) {
-    if (activity.hasOpenExchange() || closer.isClosing()) {
+    if (activity.hasPendingResponse() || closer.isClosing()) {
       return false;
     }
     if (activity.hasStartedExchange() && !assembler.isReceivingRequest()) {
@@ -96,14 +99,16 @@
    * yet.
    */
   void closeIfOverdue(double nowMs) {
+    if (writer.isStalledTooLong(nowMs)) {
+      closer.reset();
+      return;
+    }
     if (closer.isClosing()) {
       return;
     }
     boolean exchangeOpen = activity.hasOpenExchange();
     InboundRequest incompleteRequest = assembler.incompleteRequest();
-    if (writer.isStalledTooLong(nowMs)) {
-      closer.reset();
-    } else if (incompleteRequest != null && (!exchangeOpen || incompleteRequest.isAccepted())) {
+    if (incompleteRequest != null && (!exchangeOpen || incompleteRequest.isAccepted())) {
       assembler.checkBodyProgress(nowMs, requestStartedAtMs());
     } else if (!exchangeOpen && assembler.isReceivingRequest()) {
       if (nowMs - requestStartedAtMs() > RequestLimits.MAX_HEAD_MS) {
--- a/src/main/java/quotagateway/client/RequestAssembler.java
+++ b/src/main/java/quotagateway/client/RequestAssembler.java
@@ -136,7 +136,7 @@
       headBytes += bytes;
       context.adjustHeldBytes(bytes);
       if (context.isMemoryExhausted() && !firstRead) {
-        listener.onInputRejected(HttpResponseStatus.SERVICE_UNAVAILABLE, MEMORY_EXHAUSTED);
+        rejectInput();
         return false;
       }
     }
@@ -231,7 +231,7 @@
       return;
     }
     if (!request.isQueued() && request.receivedBodyBytes() > bytes && context.isMemoryExhausted()) {
-      listener.onInputRejected(HttpResponseStatus.SERVICE_UNAVAILABLE, MEMORY_EXHAUSTED);
+      rejectInput();
       return;
     }
     request.body().add(content.content());
@@ -242,6 +242,23 @@
     }
   }
 
+  /**
+   * Rejects what is being received because too much memory is held. Behind a request that has not
+   * been answered, an error could get into the middle of its response, so the connection is closed
+   * after that response instead.
+   */
+  private void rejectInput() {
+    if (listener.isIdle()) {
+      listener.onInputRejected(HttpResponseStatus.SERVICE_UNAVAILABLE, MEMORY_EXHAUSTED);
+      return;
+    }
+    pipelineOverflowed = true;
+    releaseHeadBytes();
+    discardIncompleteRequest();
+    incompleteRequest = null;
+    receivingSinceMs = Double.NaN;
+  }
+
   private void rejectBody(InboundRequest request) {
     boolean tooLarge = request.isTooLarge();
     request.setMalformedBody(!tooLarge);
--- a/src/main/java/quotagateway/driver/AttemptStarter.java
+++ b/src/main/java/quotagateway/driver/AttemptStarter.java
@@ -26,7 +26,6 @@
   private final ActiveRequests requests;
   private final Consumer<Event> events;
   private final Consumer<String> onClientDisconnected;
-  private int streamingResponses;
 
   /**
    * @param events receives the events for the policy
@@ -46,11 +45,6 @@
     this.onClientDisconnected = onClientDisconnected;
   }
 
-  /** Returns the number of responses that are being streamed to clients. */
-  int streamingResponses() {
-    return streamingResponses;
-  }
-
   /**
    * Starts an attempt, or reports it as not sent if its request is finished or no longer active.
    *
@@ -122,7 +116,6 @@
         return false;
       }
       request.startStreaming(clock.now());
-      streamingResponses++;
       request.listener.onResponseStart(response, this);
       events.accept(new ResponseStarted(request.id(), number));
       return true;
@@ -139,7 +132,6 @@
       double latencyMs = latencyMs();
       request.onAttemptEnded();
       if (request.isStreaming()) {
-        streamingResponses--;
         request.listener.onResponseEnd(status == Status.OK);
       } else if (response != null && request.finish()) {
         request.listener.onResponse(response);
--- a/src/main/java/quotagateway/driver/PolicyDriver.java
+++ b/src/main/java/quotagateway/driver/PolicyDriver.java
@@ -92,11 +92,6 @@
     return requests.size();
   }
 
-  /** Returns the number of responses that are being streamed to clients. */
-  public int streamingResponseCount() {
-    return attempts.streamingResponses();
-  }
-
   /** Returns whether a request with this id is active. */
   public boolean isActive(String id) {
     return requests.contains(id);
--- a/src/main/java/quotagateway/server/GracefulShutdown.java
+++ b/src/main/java/quotagateway/server/GracefulShutdown.java
@@ -34,8 +34,8 @@
   private static final double MAX_AWAITED_DEADLINE_MS = 3_000;
 
   /**
-   * How long clients have to read their last responses after open requests have failed. SIGKILL
-   * comes later than that.
+   * How long clients have to read their last responses after these have gone to the sockets.
+   * SIGKILL comes later than that, unless a response was streamed.
    */
   private static final long LAST_RESPONSE_READ_MS = 330;
 
@@ -109,13 +109,15 @@
   }
 
   /**
-   * Fails open requests and waits for clients to read their last responses. Responses that are
-   * being streamed continue until they are complete, without a time limit.
+   * Fails open requests, waits until the last byte of all responses has gone to the clients'
+   * sockets, and then for clients to read it. Responses that are being streamed continue until they
+   * are complete; only a client that does not read at all ends the wait for its response.
    */
   private void closeRemaining() throws InterruptedException {
     loop.submit(components.clients()::shutDown).sync();
-    do {
-      idle.await(LAST_RESPONSE_READ_MS, TimeUnit.MILLISECONDS);
-    } while (loop.submit(components.driver()::streamingResponseCount).sync().getNow() > 0);
+    while (loop.submit(components.clients()::hasPendingResponses).sync().getNow()) {
+      idle.await(IDLE_CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS);
+    }
+    idle.await(LAST_RESPONSE_READ_MS, TimeUnit.MILLISECONDS);
   }
 }
