--- a/src/main/java/quotagateway/transport/KernelSockets.java
+++ b/src/main/java/quotagateway/transport/KernelSockets.java
@@ -30,6 +30,10 @@
   /** Size of the longest address in Netty's encoding, including the length of the address. */
   private static final int MAX_ENCODED_ADDRESS_BYTES = 26;
 
+  /** Receives the byte that {@link #unreadInput} consumes; one for each event loop. */
+  private static final ThreadLocal<ByteBuffer> FIRST_BYTE =
+      ThreadLocal.withInitial(() -> ByteBuffer.allocateDirect(1));
+
   private KernelSockets() {}
 
   /** Input of a connection that is in the kernel and has not been read. */
@@ -78,7 +82,7 @@
       return UnreadInput.NONE;
     }
     Socket socket = new Socket(connection.fd().intValue());
-    ByteBuffer firstByte = ByteBuffer.allocateDirect(1);
+    ByteBuffer firstByte = FIRST_BYTE.get();
     try {
       int result = socket.recv(firstByte, 0, 1);
       if (result == WOULD_BLOCK) {
