--- a/src/main/java/quotagateway/backend/ResponseReceiver.java
+++ b/src/main/java/quotagateway/backend/ResponseReceiver.java
@@ -174,13 +174,20 @@
   private void startStreaming() {
     if (!isStreamable()) {
       listener.responseMalformed();
-    } else if (attempt.reserveStreamMemory()) {
-      streamFromStart();
-    } else {
+    } else if (!tryStream()) {
       awaitMemory();
     }
   }
 
+  /** Starts to stream the response if it can be streamed and there is memory for that. */
+  private boolean tryStream() {
+    if (!isStreamable() || !attempt.reserveStreamMemory()) {
+      return false;
+    }
+    streamFromStart();
+    return true;
+  }
+
   private boolean isStreamable() {
     return attempt.isWritten() && ResponseClassifier.classify(response.head()) == Status.OK;
   }
@@ -225,10 +232,8 @@
     if (awaitingMemory && !response.isTooLargeToBuffer() && response.countMemory()) {
       awaitingMemory = false;
       resume();
-    } else if (awaitingMemory && isStreamable() && attempt.reserveStreamMemory()) {
-      streamFromStart();
     }
-    return !awaitingMemory;
+    return !awaitingMemory || tryStream();
   }
 
   /**
@@ -239,9 +244,7 @@
     if (awaitingMemory || attempt.hasResponseStarted() || response.countMemory()) {
       return;
     }
-    if (isStreamable() && attempt.reserveStreamMemory()) {
-      streamFromStart();
-    } else {
+    if (!tryStream()) {
       awaitMemory();
     }
   }
--- a/src/main/java/quotagateway/transport/MemoryPool.java
+++ b/src/main/java/quotagateway/transport/MemoryPool.java
@@ -73,11 +73,18 @@
     }
     resuming = true;
     try {
-      while (!waiting.isEmpty() && waiting.peek().getAsBoolean()) {
-        waiting.poll();
-      }
+      runWaiting();
     } finally {
       resuming = false;
     }
   }
+
+  private void runWaiting() {
+    for (BooleanSupplier task = waiting.poll(); task != null; task = waiting.poll()) {
+      if (!task.getAsBoolean()) {
+        waiting.addFirst(task);
+        return;
+      }
+    }
+  }
 }
