--- a/src/main/java/quotagateway/client/Exchange.java
+++ b/src/main/java/quotagateway/client/Exchange.java
@@ -1,13 +1,8 @@
 package quotagateway.client;
 
-import io.netty.handler.codec.http.DefaultHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
-import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
@@ -18,7 +13,6 @@
 import quotagateway.driver.ResponseListener;
 import quotagateway.policy.event.RequestReceived;
 import quotagateway.transport.BufferMemory;
-import quotagateway.transport.ProtocolHeaders;
 
 /**
  * One request and its single final response. The exchange either responds by itself or passes the
@@ -37,19 +31,6 @@
   /** Path of the readiness check, which the gateway answers itself. */
   private static final String READINESS_PATH = "/up";
 
-  /**
-   * Headers that are forwarded to a backend; the timeout is updated when they are written. All
-   * other headers concern only the client's connection.
-   */
-  private static final CharSequence[] FORWARDED_HEADERS = {
-    HttpHeaderNames.HOST,
-    ProtocolHeaders.REQUEST_ID,
-    ProtocolHeaders.REQUEST_CLASS,
-    ProtocolHeaders.IDEMPOTENCY_KEY,
-    HttpHeaderNames.CONTENT_TYPE,
-    ProtocolHeaders.TIMEOUT_MS
-  };
-
   /** Progress of an exchange between its request and its final response. */
   private enum State {
     /**
@@ -177,37 +158,11 @@
         .driver()
         .accept(
             complete ? received : received.withoutDeadline(),
-            headForBackend(),
+            ForwardedHead.of(request),
             request.body(),
             this);
   }
 
-  /**
-   * Returns the head sent to the backend: the request line, the forwarded headers and the framing.
-   */
-  private HttpRequest headForBackend() {
-    HttpRequest head = request.head();
-    HttpRequest forwarded =
-        new DefaultHttpRequest(HttpVersion.HTTP_1_1, head.method(), RequestReader.path(head.uri()));
-    HttpHeaders headers = forwarded.headers();
-    for (CharSequence name : FORWARDED_HEADERS) {
-      String value = head.headers().get(name);
-      if (value != null) {
-        headers.set(name, value);
-      }
-    }
-    long length =
-        request.body().isComplete()
-            ? request.body().buffered().readableBytes()
-            : HttpUtil.getContentLength(head, -1L);
-    if (length < 0) {
-      headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
-    } else if (length > 0 || head.method().equals(HttpMethod.POST)) {
-      headers.set(HttpHeaderNames.CONTENT_LENGTH, length);
-    }
-    return forwarded;
-  }
-
   /**
    * Called when the last byte of the request has been received; reports the deadline to the driver
    * if the exchange is open.
