--- a/src/main/java/quotagateway/backend/BackendConnections.java
+++ b/src/main/java/quotagateway/backend/BackendConnections.java
@@ -18,11 +18,11 @@
 final class BackendConnections implements BackendConnection.Owner {
 
   /**
-   * Minimum idle time after a response before a connection is reused. A second copy of a response
-   * that arrives just after the first would otherwise be treated as the response to the next
-   * request, because only its time of arrival distinguishes the two.
+   * Minimum idle time after a response before a connection is reused. A second copy of a response,
+   * which may come some milliseconds after the first, would otherwise be treated as the response to
+   * the next request, because only its time of arrival distinguishes the two.
    */
-  private static final double MIN_IDLE_BEFORE_REUSE_MS = 4;
+  private static final double MIN_IDLE_BEFORE_REUSE_MS = 15;
 
   /**
    * Time during which no connection is reused after the backend has sent unsolicited data. Further
--- a/src/test/java/quotagateway/backend/BackendConnectionPoolTest.java
+++ b/src/test/java/quotagateway/backend/BackendConnectionPoolTest.java
@@ -38,6 +38,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import quotagateway.discovery.EndpointUpdate;
 import quotagateway.endpoint.Endpoint;
 import quotagateway.endpoint.EndpointIndex;
@@ -459,6 +461,31 @@
         });
   }
 
+  /**
+   * A second copy of a response arrives some milliseconds after the first. On a connection that had
+   * been reused by then, it was treated as the response to the next request, and each response
+   * after it as that to the request behind its own.
+   */
+  @ParameterizedTest
+  @ValueSource(ints = {5, 9})
+  void connectionIsNotReusedWhileASecondResponseMayArrive(int delayMs) throws Exception {
+    try (ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress())) {
+      server.setSoTimeout(2_000);
+      BackendConnectionPool pool = poolOnTestClock(server);
+      startAttempt(pool);
+      Socket first = server.accept();
+      respond(first);
+      nowNanos.addAndGet(TimeUnit.MILLISECONDS.toNanos(delayMs));
+      startAttempt(pool);
+      Socket second = server.accept();
+      first.getOutputStream().write(EMPTY_RESPONSE.getBytes(US_ASCII));
+      read(second);
+      assertNull(statuses.poll(100, TimeUnit.MILLISECONDS), "the second copy ended an attempt");
+      second.getOutputStream().write(EMPTY_RESPONSE.getBytes(US_ASCII));
+      assertEquals(Status.OK, TestQueues.next(statuses));
+    }
+  }
+
   /**
    * The backend's kernel holds back a second copy of a response until the first copy is
    * acknowledged (Nagle's algorithm). On a connection with many exchanges, the acknowledgment was
