--- a/src/main/java/quotagateway/backend/BackendConnection.java
+++ b/src/main/java/quotagateway/backend/BackendConnection.java
@@ -206,7 +206,7 @@
     }
     Status status =
         requestWritten ? ResponseClassifier.classify(response.head()) : Status.WRITE_INCOMPLETE;
-    receiver.detachAttempt();
+    receiver.detachCompletedAttempt();
     if (reusable) {
       owner.connectionReusable(this);
     } else {
@@ -220,6 +220,7 @@
     if (bufferedResponse != null) {
       bufferedResponse.release();
     }
+    response.releaseMemory();
   }
 
   /**
--- a/src/main/java/quotagateway/backend/ReceivedResponse.java
+++ b/src/main/java/quotagateway/backend/ReceivedResponse.java
@@ -108,14 +108,14 @@
   }
 
   /**
-   * Counts the memory of what has been received of the body. To be called after each read that
-   * leaves a buffered response incomplete; one that is complete after one read is passed on before
+   * Counts the memory of what has been received of the body. To be called for each read that leaves
+   * a buffered response incomplete; one that is complete after one read is passed on before
    * anything else is read.
    *
    * @return false if too much is held, so that no more of the response may be read
    */
   boolean countMemory() {
-    int addedBytes = body.capacity() - countedBytes;
+    int addedBytes = uncountedBytes();
     countedBytes += addedBytes;
     return memory.reserve(addedBytes);
   }
@@ -157,11 +157,28 @@
         EmptyHttpHeaders.INSTANCE);
   }
 
+  /** Returns how much memory of the body is not counted yet. */
+  int uncountedBytes() {
+    return body.capacity() - countedBytes;
+  }
+
   /** Discards the response, or an informational one that precedes it. */
   void clear() {
+    clearKeepingMemory();
+    releaseMemory();
+  }
+
+  /**
+   * Discards the response, whose body has another owner from now on. Its memory counts until {@link
+   * #releaseMemory}.
+   */
+  void clearKeepingMemory() {
     head = null;
     complete = false;
-    releaseBody();
+    if (body != null) {
+      body.release();
+      body = null;
+    }
   }
 
   /** Releases the buffered part of the body. */
@@ -170,6 +187,11 @@
       body.release();
       body = null;
     }
+    releaseMemory();
+  }
+
+  /** Stops counting memory. */
+  void releaseMemory() {
     int releasedBytes = countedBytes;
     countedBytes = 0;
     if (releasedBytes > 0) {
--- a/src/main/java/quotagateway/backend/ResponseReceiver.java
+++ b/src/main/java/quotagateway/backend/ResponseReceiver.java
@@ -11,6 +11,7 @@
 import quotagateway.policy.event.Status;
 import quotagateway.transport.BufferMemory;
 import quotagateway.transport.MonotonicClock;
+import quotagateway.transport.SocketTransport;
 
 /**
  * Receives the response to the attempt that a connection carries. It buffers the response, or
@@ -95,10 +96,21 @@
    * @return the attempt, which the caller ends, or null if there was none
    */
   Attempt detachAttempt() {
+    Attempt detached = detachCompletedAttempt();
+    response.releaseMemory();
+    return detached;
+  }
+
+  /**
+   * Does the same for an attempt whose response has another owner from now on. The memory of the
+   * response counts until the caller releases it, after the other owner has counted it.
+   */
+  Attempt detachCompletedAttempt() {
     Attempt detached = attempt;
     attempt = null;
     awaitingMemory = false;
-    clearResponse();
+    response.clearKeepingMemory();
+    stallTimer.cancel();
     response.resetInformationalCount();
     resume();
     return detached;
@@ -155,7 +167,7 @@
     if (attempt != null && attempt.hasResponseStarted()) {
       stream(content);
     } else if (attempt != null) {
-      response.append(content);
+      append(content, last);
     }
     if (attempt != null && last) {
       if (ResponseClassifier.isInformational(response.head())) {
@@ -166,6 +178,13 @@
     }
   }
 
+  private void append(HttpContent content, boolean last) {
+    response.append(content);
+    if (!last && response.uncountedBytes() >= SocketTransport.MAX_READ_BYTES) {
+      secureMemory();
+    }
+  }
+
   /**
    * Starts to stream the response to the client, because it is too large to buffer, or slow enough
    * that the client may be waiting for its first bytes. From then on no other attempt can replace
@@ -237,14 +256,15 @@
   }
 
   /**
-   * Counts the memory of a response that is still incomplete after a read. If too much is held, the
-   * response is streamed where that is possible, or not read any further for now.
+   * Counts the memory of a response that is still incomplete. If too much is held, the response is
+   * streamed where that is possible, or not read any further for now.
    */
   private void secureMemory() {
-    if (awaitingMemory || attempt.hasResponseStarted() || response.countMemory()) {
+    if (attempt.hasResponseStarted()) {
       return;
     }
-    if (!tryStream()) {
+    boolean withinLimits = response.countMemory();
+    if (!withinLimits && !awaitingMemory && !tryStream()) {
       awaitMemory();
     }
   }
--- a/src/main/java/quotagateway/transport/BufferMemory.java
+++ b/src/main/java/quotagateway/transport/BufferMemory.java
@@ -1,13 +1,14 @@
 package quotagateway.transport;
 
 /**
- * The memory for what passes between clients and backends, in separate pools, so that large bodies
- * and slow clients cannot take the memory of other responses. Not thread-safe; confined to one
- * event loop.
+ * The memory for what passes between clients and backends: one limit, and a lower one for some
+ * kinds, so that large bodies cannot take the memory of other responses. Not thread-safe; confined
+ * to one event loop.
  *
  * @param streams memory of bodies and responses that are streamed, {@link #STREAM_BYTES} each
  * @param buffered memory of responses that are buffered while they are received
- * @param unread memory of complete responses that their client's socket has not taken
+ * @param unread memory of complete responses that their client's socket has not taken; may be all
+ *     that the others leave
  */
 public record BufferMemory(MemoryPool streams, MemoryPool buffered, MemoryPool unread) {
 
@@ -19,14 +20,14 @@
 
   private static final double STREAM_SHARE = 5.0 / 8;
   private static final double BUFFERED_SHARE = 2.0 / 8;
-  private static final double UNREAD_SHARE = 1.0 / 8;
 
-  /** Divides the memory, in bytes, between the pools. */
+  /** Creates the pools of a memory of so many bytes. */
   public static BufferMemory of(long bytes) {
+    MemoryPool all = new MemoryPool(bytes);
     return new BufferMemory(
-        new MemoryPool((long) (bytes * STREAM_SHARE)),
-        new MemoryPool((long) (bytes * BUFFERED_SHARE)),
-        new MemoryPool((long) (bytes * UNREAD_SHARE)));
+        all.addPart((long) (bytes * STREAM_SHARE)),
+        all.addPart((long) (bytes * BUFFERED_SHARE)),
+        all.addPart(bytes));
   }
 
   /** Creates pools that have room for everything. */
--- a/src/test/java/quotagateway/server/HeldMemoryTest.java
+++ b/src/test/java/quotagateway/server/HeldMemoryTest.java
@@ -286,6 +286,45 @@
     }
   }
 
+  /**
+   * All requests are accepted before the first response comes, and no client reads. The responses
+   * that no socket took were held whatever their sum. Now each may hold one read beyond the limit.
+   */
+  @Test
+  void unreadResponsesTogetherHoldNoMoreThanTheLimit() throws Exception {
+    restart(SMALL_LIMITS);
+    List<PausableChannel> clients = startRequests(60);
+    clients.forEach(PausableChannel::pause);
+    String response = "HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n" + "x".repeat(60_000);
+    gateway.backends.forEach(backend -> sendWhileRead(backend, response));
+    long heldBytes = totalWaitingCapacity(clients);
+    long limitBytes = SMALL_BUFFER_BYTES + (long) clients.size() * READ_BUFFER_BYTES;
+    assertTrue(heldBytes <= limitBytes, heldBytes + " bytes are held");
+    clients.forEach(PausableChannel::resume);
+    for (int i = 0; i < clients.size(); i++) {
+      gateway.backends.forEach(backend -> sendWhileRead(backend, response));
+    }
+    for (PausableChannel client : clients) {
+      assertEquals(60_000, bodyBytes(client));
+    }
+  }
+
+  /**
+   * Slow clients that send several requests at once may hold what streams leave unused, and do not
+   * cause rejections of other clients before that.
+   */
+  @Test
+  void unreadResponsesOfSomeClientsLeaveRoomForOthers() throws Exception {
+    restart(SMALL_LIMITS);
+    List<PausableChannel> slowClients = startRequests(10);
+    slowClients.forEach(PausableChannel::pause);
+    String response = "HTTP/1.1 200 OK\r\nContent-Length: 60000\r\n\r\n" + "x".repeat(60_000);
+    gateway.backends.forEach(backend -> sendWhileRead(backend, response));
+    PausableChannel client = gateway.connectClient();
+    EmbeddedGateway.send(client, TestRequests.get("other", 3000));
+    assertTrue(gateway.path.driver().isActive("other"), client.readAllOutbound());
+  }
+
   /** A request whose response finds no memory in its time is answered all the same. */
   @Test
   void requestIsAnsweredInTimeWhenItsResponseFindsNoMemory() throws Exception {
--- a/src/test/java/quotagateway/transport/MemoryPoolTest.java
+++ b/src/test/java/quotagateway/transport/MemoryPoolTest.java
@@ -65,6 +65,29 @@
     assertEquals(List.of("next reserved"), events);
   }
 
+  /** Each kind has its own limit, and all kinds together have one. */
+  @Test
+  void partsShareTheLimitOfTheWhole() {
+    MemoryPool first = pool.addPart(60);
+    MemoryPool second = pool.addPart(100);
+    assertFalse(first.tryReserve(61));
+    assertTrue(first.tryReserve(60));
+    assertFalse(second.tryReserve(41));
+    assertTrue(second.tryReserve(40));
+  }
+
+  /** Memory that one part returns may be what a task of another part waits for. */
+  @Test
+  void releaseInOnePartResumesTasksOfAnother() {
+    MemoryPool first = pool.addPart(100);
+    MemoryPool second = pool.addPart(100);
+    first.reserve(100);
+    second.whenReleased(() -> second.tryReserve(50) && events.add("second reserved"));
+    first.release(50);
+    assertEquals(List.of("second reserved"), events);
+    assertFalse(pool.hasRoomFor(1));
+  }
+
   /** A task that fails must not keep the others waiting forever. */
   @Test
   void failedTaskIsDropped() {
