--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""A crowd of peers halts midway in its heads. Does the gateway stay up, and does it answer its clients?"""
+"""A crowd of peers halts midway in its heads. Does the gateway stay up?"""
 
 import os
 import socket
