Keep only needed header fields, count all heap of peers, and watch the heap in use

Cause: bytes received were counted, and the decoder holds each field as an entry of some 140 bytes; a whole head was not counted at all. Nothing watched the heap.

Change: RetainedHeaders drops the fields that nobody reads as they are decoded, trailers included. PeerMemory counts in one place what peers hold on the heap, at its cost and until it is freed. HeapWatch collects before the heap is full; OverloadManager then rejects new requests and ends unfinished ones, the largest first. What waits undecoded is on the heap, not in a read buffer. No limit and no -Xmx was raised.

--- a/src/main/java/quotagateway/backend/BackendConnection.java
+++ b/src/main/java/quotagateway/backend/BackendConnection.java
@@ -8,10 +8,10 @@
 import io.netty.handler.codec.http.HttpUtil;
 import java.net.InetSocketAddress;
 import quotagateway.policy.event.Status;
-import quotagateway.transport.BufferMemory;
 import quotagateway.transport.KernelSockets;
 import quotagateway.transport.KernelSockets.UnreadInput;
 import quotagateway.transport.MonotonicClock;
+import quotagateway.transport.PeerMemory;
 
 /**
  * A connection to a backend, which carries at most one attempt at a time: it sends the request,
@@ -38,10 +38,14 @@
   private final InetSocketAddress address;
   private final ResponseDecoder decoder;
   private final MonotonicClock clock;
-  private final BufferMemory memory;
+  private final PeerMemory memory;
   private final IdleConnectionReuse reuse;
   private Channel channel;
   private ResponseReceiver receiver;
+
+  /** Heap of what the decoder holds, as counted. */
+  private int decodingBytes;
+
   private double idleSinceMs;
 
   /** Idle time before the current attempt, if the connection was reused. */
@@ -66,7 +70,7 @@
       InetSocketAddress address,
       ResponseDecoder decoder,
       MonotonicClock clock,
-      BufferMemory memory,
+      PeerMemory memory,
       IdleConnectionReuse reuse) {
     this.owner = owner;
     this.address = address;
@@ -176,6 +180,7 @@
    */
   @Override
   public void channelReadComplete(ChannelHandlerContext ctx) {
+    countDecodingBytes(decoder.heldBytes());
     if (receiver.attempt() != null) {
       if (receiver.response().isComplete()) {
         completeAttempt();
@@ -187,6 +192,12 @@
     }
   }
 
+  private void countDecodingBytes(int bytes) {
+    int change = bytes - decodingBytes;
+    decodingBytes = bytes;
+    memory.heap().adjust(change);
+  }
+
   private void handleUnsolicitedData() {
     owner.unsolicitedDataReceived();
     channel.close();
@@ -253,6 +264,7 @@
 
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
+    countDecodingBytes(0);
     boolean deadWhenReused = hasCompletedResponse && !receiver.response().hasStarted();
     Attempt attempt = receiver.detachAttempt();
     owner.connectionClosed(this);
--- a/src/main/java/quotagateway/backend/BackendConnectionPool.java
+++ b/src/main/java/quotagateway/backend/BackendConnectionPool.java
@@ -11,10 +11,10 @@
 import quotagateway.endpoint.EndpointState;
 import quotagateway.endpoint.ServingEndpoints;
 import quotagateway.policy.event.Status;
-import quotagateway.transport.BufferMemory;
 import quotagateway.transport.ConnectionBudget;
 import quotagateway.transport.Dialer;
 import quotagateway.transport.MonotonicClock;
+import quotagateway.transport.PeerMemory;
 import quotagateway.transport.PeriodicTask;
 
 /**
@@ -65,7 +65,7 @@
       Dialer dialer,
       double backendIdleTimeoutMs,
       ConnectionBudget budget,
-      BufferMemory memory,
+      PeerMemory memory,
       ServingEndpoints endpoints) {
     this.loop = loop;
     this.clock = clock;
--- a/src/main/java/quotagateway/backend/BackendConnector.java
+++ b/src/main/java/quotagateway/backend/BackendConnector.java
@@ -6,10 +6,10 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import quotagateway.policy.event.Status;
-import quotagateway.transport.BufferMemory;
 import quotagateway.transport.ConnectionBudget;
 import quotagateway.transport.Dialer;
 import quotagateway.transport.MonotonicClock;
+import quotagateway.transport.PeerMemory;
 
 /**
  * Opens a connection to a backend for an attempt, and counts it against the connection budget.
@@ -20,14 +20,14 @@
   private final MonotonicClock clock;
   private final Dialer dialer;
   private final ConnectionBudget budget;
-  private final BufferMemory memory;
+  private final PeerMemory memory;
   private final IdleConnectionReuse reuse;
 
   BackendConnector(
       MonotonicClock clock,
       Dialer dialer,
       ConnectionBudget budget,
-      BufferMemory memory,
+      PeerMemory memory,
       IdleConnectionReuse reuse) {
     this.clock = clock;
     this.dialer = dialer;
--- a/src/main/java/quotagateway/backend/RequestBody.java
+++ b/src/main/java/quotagateway/backend/RequestBody.java
@@ -39,10 +39,17 @@
 
     /** Ends the body. */
     void end();
+
+    /** Runs a task once everything that was written has been taken, or cannot be any more. */
+    void whenUnblocked(Runnable task);
   }
 
   private final Source source;
-  private final IntConsumer bufferedBytesListener;
+  private final IntConsumer heldBytesListener;
+
+  /** Further memory that is held until the release. */
+  private int overheadBytes;
+
   private ByteBuf buffer = Unpooled.EMPTY_BUFFER;
 
   /** Null until the body is streamed, and after the sink is detached. */
@@ -57,11 +64,17 @@
    * Creates an empty, incomplete body.
    *
    * @param source resumes and pauses reading
-   * @param bufferedBytesListener receives each change in the capacity of the buffer, in bytes
+   * @param heldBytesListener receives each change in the memory that is held, in bytes
    */
-  public RequestBody(Source source, IntConsumer bufferedBytesListener) {
+  public RequestBody(Source source, IntConsumer heldBytesListener) {
     this.source = source;
-    this.bufferedBytesListener = bufferedBytesListener;
+    this.heldBytesListener = heldBytesListener;
+  }
+
+  /** Counts further memory of the request, which is held until the body is released. */
+  public void addOverhead(int bytes) {
+    overheadBytes += bytes;
+    heldBytesListener.accept(bytes);
   }
 
   /** Returns a complete body with a copy of the given bytes, which the caller keeps owning. */
@@ -88,7 +101,7 @@
     }
     BufferGrowth.ensureWritable(buffer, bytes.readableBytes());
     buffer.writeBytes(bytes);
-    bufferedBytesListener.accept(buffer.capacity() - capacityBefore);
+    heldBytesListener.accept(buffer.capacity() - capacityBefore);
     if (exceedsBuffer()) {
       source.setReading(false);
     }
@@ -128,7 +141,9 @@
   void streamTo(Sink newSink) {
     sink = newSink;
     ByteBuf bufferedBytes = takeBuffer();
+    int heldBytes = bufferedBytes.capacity();
     boolean moreWanted = !bufferedBytes.isReadable() || newSink.writeContent(bufferedBytes);
+    newSink.whenUnblocked(() -> heldBytesListener.accept(-heldBytes));
     if (complete) {
       newSink.end();
     } else {
@@ -154,12 +169,14 @@
   /** Releases the buffer and discards the rest of the body. Further calls have no effect. */
   public void release() {
     discarding = true;
-    takeBuffer().release();
+    ByteBuf unused = takeBuffer();
+    heldBytesListener.accept(-unused.capacity() - overheadBytes);
+    overheadBytes = 0;
+    unused.release();
   }
 
   private ByteBuf takeBuffer() {
     ByteBuf taken = buffer;
-    bufferedBytesListener.accept(-taken.capacity());
     buffer = Unpooled.EMPTY_BUFFER;
     return taken;
   }
--- a/src/main/java/quotagateway/backend/RequestWriter.java
+++ b/src/main/java/quotagateway/backend/RequestWriter.java
@@ -91,6 +91,11 @@
     }
   }
 
+  @Override
+  public void whenUnblocked(Runnable task) {
+    output.whenUnblocked(task);
+  }
+
   @Override
   public void end() {
     writeLast(LastHttpContent.EMPTY_LAST_CONTENT);
--- a/src/main/java/quotagateway/backend/ResponseDecoder.java
+++ b/src/main/java/quotagateway/backend/ResponseDecoder.java
@@ -1,13 +1,18 @@
 package quotagateway.backend;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.util.AsciiString;
+import java.util.List;
 import quotagateway.transport.CompactingCumulator;
+import quotagateway.transport.ProtocolHeaders;
+import quotagateway.transport.RetainedHeaders;
 import quotagateway.transport.SocketTransport;
 
 /**
@@ -20,13 +25,32 @@
   private static final int MAX_STATUS_LINE_BYTES = 1_024;
   private static final int MAX_HEADER_BYTES = 8_192;
 
+  /** Headers that the gateway reads or forwards. */
+  private static final List<AsciiString> RETAINED_HEADERS =
+      List.of(
+          HttpHeaderNames.CONNECTION,
+          HttpHeaderNames.CONTENT_LENGTH,
+          HttpHeaderNames.CONTENT_TYPE,
+          HttpHeaderNames.TRANSFER_ENCODING,
+          ProtocolHeaders.NOT_STARTED,
+          ProtocolHeaders.UNITS_CHARGED);
+
+  private final RetainedHeaders.Factory headers;
+
   ResponseDecoder() {
+    this(new RetainedHeaders.Factory(RETAINED_HEADERS));
+  }
+
+  private ResponseDecoder(RetainedHeaders.Factory headers) {
     super(
         new HttpDecoderConfig()
             .setMaxInitialLineLength(MAX_STATUS_LINE_BYTES)
             .setMaxHeaderSize(MAX_HEADER_BYTES)
             .setMaxChunkSize(SocketTransport.MAX_READ_BYTES)
+            .setHeadersFactory(headers)
+            .setTrailersFactory(new RetainedHeaders.Factory(List.of()))
             .setUseRfc9112TransferEncoding(true));
+    this.headers = headers;
     setCumulator(CompactingCumulator.INSTANCE);
   }
 
@@ -62,10 +86,16 @@
     return actualReadableBytes() > 0;
   }
 
+  /** Returns the memory of the current head and of what has not been decoded yet. */
+  int heldBytes() {
+    ByteBuf undecoded = internalBuffer();
+    return headers.heldBytes() + (undecoded.isReadable() ? undecoded.capacity() : 0);
+  }
+
   /** Compacts what the reads have left undecoded, which may be a few bytes of a large buffer. */
   @Override
   public void channelReadComplete(ChannelHandlerContext ctx) throws Exception {
-    if (CompactingCumulator.isSparse(internalBuffer())) {
+    if (CompactingCumulator.needsCompaction(internalBuffer())) {
       channelRead(ctx, Unpooled.EMPTY_BUFFER);
     }
     super.channelReadComplete(ctx);
--- a/src/main/java/quotagateway/backend/ResponseReceiver.java
+++ b/src/main/java/quotagateway/backend/ResponseReceiver.java
@@ -9,8 +9,8 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import quotagateway.policy.event.Status;
-import quotagateway.transport.BufferMemory;
 import quotagateway.transport.MonotonicClock;
+import quotagateway.transport.PeerMemory;
 import quotagateway.transport.SocketTransport;
 
 /**
@@ -29,7 +29,7 @@
 
   private final Channel channel;
   private final Listener listener;
-  private final BufferMemory memory;
+  private final PeerMemory memory;
   private final ReceivedResponse response;
   private final StalledResponseTimer stallTimer;
 
@@ -56,7 +56,7 @@
    *
    * @param memory bounds what responses hold
    */
-  ResponseReceiver(Channel channel, MonotonicClock clock, BufferMemory memory, Listener listener) {
+  ResponseReceiver(Channel channel, MonotonicClock clock, PeerMemory memory, Listener listener) {
     this.channel = channel;
     this.listener = listener;
     this.memory = memory;
--- a/src/main/java/quotagateway/client/ClientConnection.java
+++ b/src/main/java/quotagateway/client/ClientConnection.java
@@ -33,6 +33,7 @@
   private final Channel channel;
   private final ClientContext context;
   private final ClientConnections connections;
+  private final ConnectionMemory memory;
   private final RequestAssembler assembler;
   private final ResponseWriter writer;
   private final ConnectionCloser closer;
@@ -57,12 +58,17 @@
     this.channel = channel;
     this.context = context;
     this.connections = connections;
-    assembler = new RequestAssembler(channel, context, this);
+    memory = new ConnectionMemory(context.memory());
+    assembler = new RequestAssembler(channel, context, memory, this);
     writer = new ResponseWriter(channel, context, this::onClientReads);
     closer = new ConnectionCloser(channel, context, assembler, writer, this);
     timeouts = new ConnectionTimeouts(context, assembler, writer, closer, this);
   }
 
+  ConnectionMemory memory() {
+    return memory;
+  }
+
   RequestAssembler assembler() {
     return assembler;
   }
@@ -79,6 +85,7 @@
 
   @Override
   public void handlerAdded(ChannelHandlerContext ctx) {
+    memory.onOpened();
     timeouts.restartIdleTime();
     overBudget = connections.onOpened(this);
   }
@@ -107,7 +114,7 @@
 
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
-    assembler.releaseHeadBytes();
+    memory.onClosed();
     closer.onClosed();
     connections.onClosed(this);
     if (exchange != null) {
@@ -248,6 +255,24 @@
     assembler.discardIncompleteRequest();
   }
 
+  /**
+   * Drops what no attempt has been started for, to free its memory: requests that wait for their
+   * turn or are being received. If no request is open, the client gets a rejection.
+   */
+  void dropUnstartedRequests() {
+    InboundRequest incompleteRequest = assembler.incompleteRequest();
+    boolean bodyIsStreamed = incompleteRequest != null && incompleteRequest.isAccepted();
+    if (isClosing() || bodyIsStreamed) {
+      return;
+    }
+    if (hasOpenExchange()) {
+      discardRequests();
+      assembler.dropInput();
+    } else {
+      closer.rejectAndClose("out of memory");
+    }
+  }
+
   // Responses
 
   /** Writes an exchange's response, then starts the next request or closes the connection. */
--- a/src/main/java/quotagateway/client/ClientConnections.java
+++ b/src/main/java/quotagateway/client/ClientConnections.java
@@ -26,6 +26,7 @@
 
   private final ClientContext context;
   private final ConnectionBudget budget;
+  private final OverloadManager overload;
 
   /** Ordered by the time of opening. */
   private final Set<ClientConnection> connections = new LinkedHashSet<>();
@@ -33,6 +34,7 @@
   ClientConnections(EventLoop loop, ClientContext context, ConnectionBudget budget) {
     this.context = context;
     this.budget = budget;
+    overload = new OverloadManager(context, connections);
     PeriodicTask.schedule(loop, CHECK_INTERVAL_MS, this::closeOverdue);
   }
 
@@ -97,7 +99,13 @@
     }
   }
 
+  /** Called for each read, as what clients send may exhaust the heap. */
+  void onBytesReceived() {
+    overload.checkHeap();
+  }
+
   private void closeOverdue() {
+    overload.checkHeap();
     double now = context.now();
     PeriodicTask.forEachIsolated(
         connections, connection -> connection.timeouts().closeIfOverdue(now));
--- a/src/main/java/quotagateway/client/ClientContext.java
+++ b/src/main/java/quotagateway/client/ClientContext.java
@@ -3,12 +3,12 @@
 import io.netty.handler.codec.http.HttpRequest;
 import quotagateway.backend.BackendConnectionPool;
 import quotagateway.backend.RequestBody;
-import quotagateway.config.ResourceLimits;
 import quotagateway.driver.PolicyDriver;
 import quotagateway.lifecycle.Lifecycle;
 import quotagateway.policy.event.RequestReceived;
-import quotagateway.transport.BufferMemory;
+import quotagateway.transport.HeapWatch;
 import quotagateway.transport.MonotonicClock;
+import quotagateway.transport.PeerMemory;
 
 /**
  * State shared by all client connections: the clock, the driver, the settings by which requests are
@@ -26,19 +26,13 @@
   private final MonotonicClock clock;
   private final PolicyDriver driver;
   private final BackendConnectionPool backends;
-  private final ResourceLimits limits;
-  private final BufferMemory memory;
+  private final PeerMemory memory;
+  private final HeapWatch heapWatch;
   private final Lifecycle lifecycle;
   private RequestReader reader;
   private RequestReader previousReader;
   private double previousReaderUntilMs = Double.NEGATIVE_INFINITY;
 
-  /**
-   * Bytes of requests that are being received, or kept as long as they may have to be sent to a
-   * backend again.
-   */
-  private int heldBytes;
-
   private boolean shutDown;
 
   ClientContext(
@@ -46,15 +40,15 @@
       PolicyDriver driver,
       BackendConnectionPool backends,
       RequestReader reader,
-      ResourceLimits limits,
-      BufferMemory memory,
+      PeerMemory memory,
+      HeapWatch heapWatch,
       Lifecycle lifecycle) {
     this.clock = clock;
     this.driver = driver;
     this.backends = backends;
     this.reader = reader;
-    this.limits = limits;
     this.memory = memory;
+    this.heapWatch = heapWatch;
     this.lifecycle = lifecycle;
   }
 
@@ -97,27 +91,28 @@
     reader = newReader;
   }
 
-  /** Adds to the number of request bytes that are held; negative when bytes are released. */
-  void adjustHeldBytes(int bytes) {
-    heldBytes += bytes;
-  }
-
-  /** Returns the memory of what passes between clients and backends. */
-  BufferMemory memory() {
+  /** Returns the memory that peers hold. */
+  PeerMemory memory() {
     return memory;
   }
 
   /**
-   * Returns whether requests are rejected because too much memory is held by requests, by streamed
-   * bodies or by responses that clients have not read. Without this, the process could exceed its
-   * memory limit and be killed with all its requests.
+   * Returns whether requests are rejected because too much memory is held: by clients and their
+   * requests, by streamed bodies, by responses that clients have not read, or by anything else on
+   * the heap. Without this, the process could exceed its memory limit and be killed with all its
+   * requests.
    */
   boolean isMemoryExhausted() {
-    return heldBytes >= limits.maxBodyBytes()
-        || !memory.streams().hasRoomFor(BufferMemory.STREAM_BYTES)
+    return heapWatch.isExhausted()
+        || !memory.requests().hasRoomFor(1)
+        || !memory.streams().hasRoomFor(PeerMemory.STREAM_BYTES)
         || !memory.unread().hasRoomFor(RequestBody.MAX_BUFFERED_BYTES);
   }
 
+  HeapWatch heapWatch() {
+    return heapWatch;
+  }
+
   /**
    * Returns whether the gateway accepts clients' requests. The admin server also calls it, on its
    * own thread.
--- a/src/main/java/quotagateway/client/ClientServer.java
+++ b/src/main/java/quotagateway/client/ClientServer.java
@@ -1,7 +1,6 @@
 package quotagateway.client;
 
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -14,13 +13,13 @@
 import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
 import quotagateway.backend.BackendConnectionPool;
-import quotagateway.config.ResourceLimits;
 import quotagateway.driver.PolicyDriver;
 import quotagateway.lifecycle.Lifecycle;
-import quotagateway.transport.BufferMemory;
 import quotagateway.transport.ConnectionBudget;
+import quotagateway.transport.HeapWatch;
 import quotagateway.transport.KernelSockets;
 import quotagateway.transport.MonotonicClock;
+import quotagateway.transport.PeerMemory;
 import quotagateway.transport.SocketTransport;
 
 /**
@@ -46,9 +45,9 @@
    *
    * @param loop runs all work of the server
    * @param reader applies the settings in force at the start
-   * @param limits bounds what requests may hold
    * @param budget shared by connections of clients and to backends
-   * @param memory shared with the connections to backends
+   * @param memory limits what clients hold; shared with the connections to backends
+   * @param heapWatch notices an exhausted heap, so that unfinished requests are ended
    */
   public ClientServer(
       EventLoop loop,
@@ -56,11 +55,11 @@
       PolicyDriver driver,
       BackendConnectionPool backends,
       RequestReader reader,
-      ResourceLimits limits,
       ConnectionBudget budget,
-      BufferMemory memory,
+      PeerMemory memory,
+      HeapWatch heapWatch,
       Lifecycle lifecycle) {
-    context = new ClientContext(clock, driver, backends, reader, limits, memory, lifecycle);
+    context = new ClientContext(clock, driver, backends, reader, memory, heapWatch, lifecycle);
     connections = new ClientConnections(loop, context, budget);
   }
 
@@ -105,7 +104,7 @@
    * Records a client's bytes before they are decoded, because the decoder does not report when a
    * request begins and how much of it has been received. Drops bytes that are not wanted.
    */
-  private static final class ReceivedBytesHandler extends ChannelInboundHandlerAdapter {
+  private final class ReceivedBytesHandler extends ChannelInboundHandlerAdapter {
     private final RequestAssembler assembler;
     private final RequestDecoder decoder;
 
@@ -116,9 +115,10 @@
 
     @Override
     public void channelRead(ChannelHandlerContext ctx, Object bytes) {
-      if (assembler.bytesReceived(((ByteBuf) bytes).readableBytes())) {
+      connections.onBytesReceived();
+      if (assembler.bytesReceived()) {
         ctx.fireChannelRead(bytes);
-        assembler.bytesDecoded(decoder.hasMoreBytes());
+        assembler.bytesDecoded(decoder.hasMoreBytes(), decoder.heldBytes());
       } else {
         ReferenceCountUtil.release(bytes);
       }
--- a/src/main/java/quotagateway/client/ConnectionCloser.java
+++ b/src/main/java/quotagateway/client/ConnectionCloser.java
@@ -101,16 +101,24 @@
    */
   void closeToMakeRoom() {
     if (!requests.hasPendingResponse() && !closing && assembler.isReceivingRequest()) {
-      closing = true;
-      requests.discardRequests();
-      writer
-          .writeFinalError(HttpResponseStatus.SERVICE_UNAVAILABLE, "too many connections")
-          .addListener(ChannelFutureListener.CLOSE);
+      rejectAndClose("too many connections");
     } else {
       closeIfIdle();
     }
   }
 
+  /**
+   * Rejects the next or partly received request, drops all others, and closes the connection
+   * without lingering. To be called while no request is open.
+   */
+  void rejectAndClose(String reason) {
+    closing = true;
+    requests.discardRequests();
+    writer
+        .writeFinalError(HttpResponseStatus.SERVICE_UNAVAILABLE, reason)
+        .addListener(ChannelFutureListener.CLOSE);
+  }
+
   /**
    * Closes the connection because the process is ending. A partly received request is rejected, as
    * the rest of it will not be read; otherwise it could be read after the shutdown and never be
--- a/src/main/java/quotagateway/client/Exchange.java
+++ b/src/main/java/quotagateway/client/Exchange.java
@@ -3,6 +3,7 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
@@ -12,7 +13,7 @@
 import quotagateway.backend.Attempt;
 import quotagateway.driver.ResponseListener;
 import quotagateway.policy.event.RequestReceived;
-import quotagateway.transport.BufferMemory;
+import quotagateway.transport.PeerMemory;
 
 /**
  * One request and its single final response. The exchange either responds by itself or passes the
@@ -151,16 +152,14 @@
       respond(ResponseWriter.rejection(0));
       return;
     }
+    HttpRequest forwardedHead = ForwardedHead.of(request);
     request.accept(received.deadlineAtMs() - request.lastByteAtMs());
     requestId = received.requestId();
     state = State.FORWARDED;
     context
         .driver()
         .accept(
-            complete ? received : received.withoutDeadline(),
-            ForwardedHead.of(request),
-            request.body(),
-            this);
+            complete ? received : received.withoutDeadline(), forwardedHead, request.body(), this);
   }
 
   /**
@@ -201,7 +200,7 @@
   private void releaseStreamMemory() {
     if (streamMemoryReserved) {
       streamMemoryReserved = false;
-      context.memory().streams().release(BufferMemory.STREAM_BYTES);
+      context.memory().streams().release(PeerMemory.STREAM_BYTES);
     }
   }
 
@@ -252,7 +251,7 @@
   @Override
   public boolean reserveStreamMemory() {
     if (!streamMemoryReserved && state != State.ENDED) {
-      streamMemoryReserved = context.memory().streams().tryReserve(BufferMemory.STREAM_BYTES);
+      streamMemoryReserved = context.memory().streams().tryReserve(PeerMemory.STREAM_BYTES);
     }
     return streamMemoryReserved || state == State.ENDED;
   }
--- a/src/main/java/quotagateway/client/InboundRequest.java
+++ b/src/main/java/quotagateway/client/InboundRequest.java
@@ -14,6 +14,7 @@
   private final HttpRequest head;
   private final RequestBody body;
   private final boolean malformedHead;
+  private final long declaredBodyBytes;
   private double bodyStartedAtMs;
   private double lastByteAtMs;
   private double timeoutMs;
@@ -35,6 +36,7 @@
     this.body = body;
     bodyStartedAtMs = nowMs;
     malformedHead = head.decoderResult().isFailure();
+    declaredBodyBytes = malformedHead ? 0 : HttpUtil.getContentLength(head, 0L);
     awaitsContinue = !malformedHead && HttpUtil.is100ContinueExpected(head);
   }
 
@@ -57,7 +59,7 @@
 
   /** Returns the body length that the head declares, or 0 if it declares none. */
   long declaredBodyBytes() {
-    return HttpUtil.getContentLength(head, 0L);
+    return declaredBodyBytes;
   }
 
   boolean isTooLarge() {
@@ -116,9 +118,15 @@
     return accepted;
   }
 
+  /**
+   * Marks the request as accepted. Its header fields are dropped, as the driver has those that are
+   * forwarded.
+   */
   void accept(double clientTimeoutMs) {
     timeoutMs = clientTimeoutMs;
     accepted = true;
+    body.addOverhead(ConnectionMemory.ACCEPTED_REQUEST_BYTES);
+    head.headers().clear();
   }
 
   /** Returns when the client gives up; valid once the last byte has been received. */
--- a/src/main/java/quotagateway/client/RequestAssembler.java
+++ b/src/main/java/quotagateway/client/RequestAssembler.java
@@ -64,6 +64,7 @@
 
   private final Channel channel;
   private final ClientContext context;
+  private final ConnectionMemory memory;
   private final Listener listener;
 
   /** When the request that is being received began, or NaN. */
@@ -71,9 +72,6 @@
 
   private double lastReadAtMs;
 
-  /** Number of bytes received of the current request head. */
-  private int headBytes;
-
   /** The request whose head has been received and whose body is incomplete, or null. */
   private InboundRequest incompleteRequest;
 
@@ -86,9 +84,11 @@
    */
   private boolean pipelineOverflowed;
 
-  RequestAssembler(Channel channel, ClientContext context, Listener listener) {
+  RequestAssembler(
+      Channel channel, ClientContext context, ConnectionMemory memory, Listener listener) {
     this.channel = channel;
     this.context = context;
+    this.memory = memory;
     this.listener = listener;
   }
 
@@ -123,22 +123,19 @@
    *
    * @return false if no more input is wanted and the bytes have to be dropped
    */
-  boolean bytesReceived(int bytes) {
+  boolean bytesReceived() {
     lastReadAtMs = context.now();
     if (listener.isClosing() || pipelineOverflowed) {
       return false;
     }
-    if (!isReceivingRequest()) {
+    boolean beginsRequest = !isReceivingRequest();
+    if (beginsRequest) {
       receivingSinceMs = lastReadAtMs;
     }
-    if (incompleteRequest == null) {
-      boolean firstRead = headBytes == 0;
-      headBytes += bytes;
-      context.adjustHeldBytes(bytes);
-      if (context.isMemoryExhausted() && !firstRead) {
-        rejectInput();
-        return false;
-      }
+    boolean mayBeAnswered = beginsRequest && listener.isIdle();
+    if (incompleteRequest == null && context.isMemoryExhausted() && !mayBeAnswered) {
+      rejectInput();
+      return false;
     }
     return true;
   }
@@ -147,21 +144,15 @@
    * Called after the received bytes have been decoded.
    *
    * @param moreBuffered whether they include part of a further request
+   * @param decodingBytes memory of what has not been passed on yet
    */
-  void bytesDecoded(boolean moreBuffered) {
+  void bytesDecoded(boolean moreBuffered, int decodingBytes) {
+    memory.setDecodingBytes(decodingBytes);
     if (moreBuffered && !isReceivingRequest()) {
       receivingSinceMs = context.now();
     }
   }
 
-  /**
-   * Stops counting the bytes of the head as held: it has been decoded, or the connection has ended.
-   */
-  void releaseHeadBytes() {
-    context.adjustHeldBytes(-headBytes);
-    headBytes = 0;
-  }
-
   /** Releases the body of the request that is being received, unless the driver owns it. */
   void discardIncompleteRequest() {
     if (incompleteRequest != null && !incompleteRequest.isAccepted()) {
@@ -186,16 +177,16 @@
 
   /** Processes the head of a request. */
   void onHead(HttpRequest head) {
-    releaseHeadBytes();
     InboundRequest request =
         new InboundRequest(
-            head, new RequestBody(this::setReading, context::adjustHeldBytes), context.now());
+            head, new RequestBody(this::setReading, memory::adjustRequestBytes), context.now());
     if (!listener.isIdle() && (listener.isQueueFull() || request.isMalformed())) {
       // Reading continues so that a disconnect of the client is noticed; the limit applies to what
       // is kept.
       pipelineOverflowed = true;
       return;
     }
+    request.body().addOverhead(ConnectionMemory.requestBytes(head));
     if (request.isMalformed()) {
       request.body().end();
       receivingSinceMs = Double.NaN;
@@ -250,10 +241,17 @@
   private void rejectInput() {
     if (listener.isIdle()) {
       listener.onInputRejected(HttpResponseStatus.SERVICE_UNAVAILABLE, MEMORY_EXHAUSTED);
-      return;
+    } else {
+      dropInput();
     }
+  }
+
+  /**
+   * Drops what is being received and all that follows. The connection is closed after the responses
+   * to the requests before it.
+   */
+  void dropInput() {
     pipelineOverflowed = true;
-    releaseHeadBytes();
     discardIncompleteRequest();
     incompleteRequest = null;
     receivingSinceMs = Double.NaN;
--- a/src/main/java/quotagateway/config/ResourceLimits.java
+++ b/src/main/java/quotagateway/config/ResourceLimits.java
@@ -1,5 +1,6 @@
 package quotagateway.config;
 
+import quotagateway.transport.PeerMemory;
 import quotagateway.transport.SocketTransport;
 
 /**
@@ -13,7 +14,8 @@
  * @param maxConnections most connections to clients and backends together
  * @param maxConnectionsDuringUpgrade the same limit while a second process with the same limits
  *     runs in parallel
- * @param maxBodyBytes most bytes of request bodies that may be held in memory
+ * @param maxHeapBytes most heap that clients, requests and heads of messages may take
+ * @param maxBodyBytes most of that heap that requests may take, with their heads and bodies
  * @param maxBufferBytes most memory of what passes between clients and backends
  * @param maxEndpoints most endpoints that an endpoint list may name
  * @param cores processor cores available to the process; may be a fraction
@@ -21,6 +23,7 @@
 public record ResourceLimits(
     int maxConnections,
     int maxConnectionsDuringUpgrade,
+    long maxHeapBytes,
     int maxBodyBytes,
     long maxBufferBytes,
     int maxEndpoints,
@@ -65,6 +68,7 @@
   static final double DEFAULT_CORES = 1;
 
   private static final int BYTES_PER_MB = 1 << 20;
+  private static final double PEER_HEAP_SHARE = 1.0 / 3;
   private static final double BODY_MEMORY_SHARE = 1.0 / 16;
   private static final double BUFFER_MEMORY_SHARE = 1.0 / 8;
 
@@ -101,12 +105,18 @@
     return new ResourceLimits(
         Math.max(MIN_CONNECTIONS, connections),
         Math.max(MIN_CONNECTIONS, connectionsDuringUpgrade),
+        (long) (Runtime.getRuntime().maxMemory() * PEER_HEAP_SHARE),
         (int) (memoryMb * BODY_MEMORY_SHARE * BYTES_PER_MB),
         (long) bufferBytes,
         maxEndpoints(memoryMb, (double) Runtime.getRuntime().maxMemory()),
         cores);
   }
 
+  /** Returns empty pools of the memory that peers may hold. */
+  public PeerMemory newPeerMemory() {
+    return PeerMemory.of(maxBufferBytes, maxHeapBytes, maxBodyBytes);
+  }
+
   private static int maxEndpoints(double memoryMb, double heapBytes) {
     double memoryBytes = memoryMb * BYTES_PER_MB * ENDPOINT_MEMORY_SHARE;
     double usableHeapBytes = heapBytes * ENDPOINT_HEAP_SHARE;
--- a/src/main/java/quotagateway/server/RequestPath.java
+++ b/src/main/java/quotagateway/server/RequestPath.java
@@ -8,10 +8,11 @@
 import quotagateway.driver.PolicyDriver;
 import quotagateway.lifecycle.Lifecycle;
 import quotagateway.policy.GatewayPolicy;
-import quotagateway.transport.BufferMemory;
 import quotagateway.transport.ConnectionBudget;
 import quotagateway.transport.Dialer;
+import quotagateway.transport.HeapWatch;
 import quotagateway.transport.MonotonicClock;
+import quotagateway.transport.PeerMemory;
 
 /**
  * Holds the components that process a request between its client and a backend. They are confined
@@ -22,12 +23,26 @@
  */
 record RequestPath(PolicyDriver driver, ClientServer clients) {
 
+  /** Creates the components, which watch the heap of this process; the caller starts the driver. */
+  static RequestPath create(
+      GatewayConfig config,
+      long seed,
+      EventLoop loop,
+      MonotonicClock clock,
+      Dialer backendDialer,
+      ConnectionBudget budget,
+      Lifecycle lifecycle) {
+    HeapWatch heapWatch = HeapWatch.ofThisProcess();
+    return create(config, seed, loop, clock, backendDialer, budget, heapWatch, lifecycle);
+  }
+
   /**
    * Creates the components; the caller starts the driver.
    *
    * @param seed seed of the policy's random generator
    * @param backendDialer opens connections to backends
    * @param budget shared by client and backend connections
+   * @param heapWatch watches the heap of the process
    */
   static RequestPath create(
       GatewayConfig config,
@@ -36,9 +51,10 @@
       MonotonicClock clock,
       Dialer backendDialer,
       ConnectionBudget budget,
+      HeapWatch heapWatch,
       Lifecycle lifecycle) {
     GatewayPolicy policy = new GatewayPolicy(config.settings(), seed);
-    BufferMemory memory = BufferMemory.of(config.limits().maxBufferBytes());
+    PeerMemory memory = config.limits().newPeerMemory();
     BackendConnectionPool backendPool =
         new BackendConnectionPool(
             loop,
@@ -56,9 +72,9 @@
             driver,
             backendPool,
             new RequestReader(config.settings()),
-            config.limits(),
             budget,
             memory,
+            heapWatch,
             lifecycle);
     return new RequestPath(driver, clients);
   }
--- a/src/main/java/quotagateway/transport/CompactingCumulator.java
+++ b/src/main/java/quotagateway/transport/CompactingCumulator.java
@@ -6,9 +6,10 @@
 import io.netty.handler.codec.ByteToMessageDecoder;
 
 /**
- * Collects the received bytes that a decoder cannot decode yet, in a buffer of their size. Without
- * this, a few bytes of an incomplete head would hold the buffer into which they were read, up to
- * {@link SocketTransport#MAX_READ_BYTES}, for as long as the peer takes to send the rest.
+ * Collects the received bytes that a decoder cannot decode yet, in a buffer of their size on the
+ * heap. Without this, a few bytes of an incomplete head would hold the buffer into which they were
+ * read, up to {@link SocketTransport#MAX_READ_BYTES}, for as long as the peer takes to send the
+ * rest.
  */
 public final class CompactingCumulator implements ByteToMessageDecoder.Cumulator {
 
@@ -28,7 +29,7 @@
     }
     if (!in.isReadable()) {
       in.release();
-      return compact(cumulation);
+      return copyToHeap(cumulation);
     }
     return join(cumulation, in);
   }
@@ -44,15 +45,23 @@
     }
   }
 
-  /** Returns whether a buffer with some bytes takes much more memory than these bytes need. */
-  public static boolean isSparse(ByteBuf buffer) {
-    return buffer.isReadable() && buffer.capacity() > MAX_CAPACITY_FACTOR * buffer.readableBytes();
+  /**
+   * Returns whether undecoded bytes that wait for more should be compacted, by passing an empty
+   * buffer to the decoder: they are in a read buffer, or in one of more than their size.
+   */
+  public static boolean needsCompaction(ByteBuf undecoded) {
+    return undecoded.isReadable() && (undecoded.isDirect() || isSparse(undecoded));
+  }
+
+  private static boolean isSparse(ByteBuf buffer) {
+    return buffer.capacity() > MAX_CAPACITY_FACTOR * buffer.readableBytes();
   }
 
   private static ByteBuf compact(ByteBuf buffer) {
-    if (!isSparse(buffer)) {
-      return buffer;
-    }
+    return buffer.isReadable() && isSparse(buffer) ? copyToHeap(buffer) : buffer;
+  }
+
+  private static ByteBuf copyToHeap(ByteBuf buffer) {
     try {
       return Unpooled.buffer(buffer.readableBytes()).writeBytes(buffer);
     } finally {
--- a/src/main/java/quotagateway/transport/MemoryPool.java
+++ b/src/main/java/quotagateway/transport/MemoryPool.java
@@ -67,6 +67,15 @@
     return hasRoomFor(0);
   }
 
+  /** Counts a change of what is held already: reserves bytes, or releases them if negative. */
+  public void adjust(int change) {
+    if (change < 0) {
+      release(-change);
+    } else {
+      reserve(change);
+    }
+  }
+
   /** Returns reserved bytes, and runs the tasks that wait for memory as far as it suffices. */
   public void release(int bytes) {
     add(-bytes);
--- a/src/test/java/quotagateway/backend/BackendConnectionPoolTest.java
+++ b/src/test/java/quotagateway/backend/BackendConnectionPoolTest.java
@@ -46,10 +46,10 @@
 import quotagateway.endpoint.EndpointState;
 import quotagateway.policy.event.Status;
 import quotagateway.testing.TestQueues;
-import quotagateway.transport.BufferMemory;
 import quotagateway.transport.ConnectionBudget;
 import quotagateway.transport.Dialer;
 import quotagateway.transport.MonotonicClock;
+import quotagateway.transport.PeerMemory;
 import quotagateway.transport.SocketTransport;
 
 /**
@@ -89,7 +89,7 @@
             Dialer.sockets(loop, 5_000),
             10_000,
             new ConnectionBudget(maxConnections),
-            BufferMemory.unlimited(),
+            PeerMemory.unlimited(),
             new SingleEndpoint(port));
     pool.onEndpointsUpdated(snapshot());
     return pool;
@@ -174,7 +174,7 @@
             },
             10_000,
             new ConnectionBudget(100),
-            BufferMemory.unlimited(),
+            PeerMemory.unlimited(),
             new SingleEndpoint(1));
     pool.onEndpointsUpdated(snapshot());
     return pool;
@@ -226,7 +226,7 @@
                         Dialer.sockets(loop, 5_000),
                         10_000,
                         new ConnectionBudget(100),
-                        BufferMemory.unlimited(),
+                        PeerMemory.unlimited(),
                         new SingleEndpoint(server.getLocalPort()));
                 pool.onEndpointsUpdated(snapshot());
                 pool.start(1, attempt(60_000), 20_000);
@@ -268,7 +268,7 @@
                         smallBuffers,
                         10_000,
                         new ConnectionBudget(100),
-                        BufferMemory.unlimited(),
+                        PeerMemory.unlimited(),
                         new SingleEndpoint(server.getLocalPort()));
                 pool.onEndpointsUpdated(snapshot());
                 DefaultHttpRequest head =
@@ -408,7 +408,7 @@
             },
             10_000,
             new ConnectionBudget(1),
-            BufferMemory.unlimited(),
+            PeerMemory.unlimited(),
             new SingleEndpoint(1));
     pool.onEndpointsUpdated(snapshot());
     pool.start(1, attempt(5_000), NO_WRITE_LIMIT);
@@ -580,7 +580,7 @@
                           Dialer.sockets(loop, 5_000),
                           10_000,
                           new ConnectionBudget(100),
-                          BufferMemory.unlimited(),
+                          PeerMemory.unlimited(),
                           index))
               .sync()
               .getNow();
--- a/src/test/java/quotagateway/backend/RequestBodyTest.java
+++ b/src/test/java/quotagateway/backend/RequestBodyTest.java
@@ -39,6 +39,11 @@
     public void end() {
       ended = true;
     }
+
+    @Override
+    public void whenUnblocked(Runnable task) {
+      task.run();
+    }
   }
 
   private static ByteBuf bytes(int size) {
--- a/src/test/java/quotagateway/backend/StalledResponseTest.java
+++ b/src/test/java/quotagateway/backend/StalledResponseTest.java
@@ -22,9 +22,9 @@
 import quotagateway.endpoint.Endpoint;
 import quotagateway.endpoint.EndpointState;
 import quotagateway.policy.event.Status;
-import quotagateway.transport.BufferMemory;
 import quotagateway.transport.ConnectionBudget;
 import quotagateway.transport.MonotonicClock;
+import quotagateway.transport.PeerMemory;
 
 /**
  * Tests pauses of a backend within a response. With pauses below 250 ms the response is served;
@@ -52,7 +52,7 @@
             },
             10_000,
             new ConnectionBudget(100),
-            BufferMemory.unlimited(),
+            PeerMemory.unlimited(),
             new SingleEndpoint(1));
     Endpoint endpoint = new Endpoint(1, "a", 0, EndpointState.SERVING, 1, 0);
     pool.onEndpointsUpdated(new EndpointUpdate(1, true, List.of(endpoint)));
--- a/src/test/java/quotagateway/config/ResourceLimitsDivisionTest.java
+++ b/src/test/java/quotagateway/config/ResourceLimitsDivisionTest.java
@@ -5,8 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import org.junit.jupiter.api.Test;
-import quotagateway.transport.BufferMemory;
 import quotagateway.transport.MemoryPool;
+import quotagateway.transport.PeerMemory;
 
 /** Tests how the limits of a process are divided among its resources. */
 class ResourceLimitsDivisionTest {
@@ -36,9 +36,9 @@
     ResourceLimits limits = ResourceLimits.of(1024, 128, 1);
     assertEquals(8 << 20, limits.maxBodyBytes());
     assertEquals(16 << 20, limits.maxBufferBytes());
-    MemoryPool streams = BufferMemory.of(limits.maxBufferBytes()).streams();
-    assertTrue(streams.hasRoomFor((16 << 20) / (64 * 1024) * BufferMemory.STREAM_BYTES));
-    assertFalse(streams.hasRoomFor((16 << 20) / (64 * 1024) * BufferMemory.STREAM_BYTES + 1));
+    MemoryPool streams = limits.newPeerMemory().streams();
+    assertTrue(streams.hasRoomFor((16 << 20) / (64 * 1024) * PeerMemory.STREAM_BYTES));
+    assertFalse(streams.hasRoomFor((16 << 20) / (64 * 1024) * PeerMemory.STREAM_BYTES + 1));
   }
 
   /**
--- a/src/test/java/quotagateway/driver/ConcurrentEventsTest.java
+++ b/src/test/java/quotagateway/driver/ConcurrentEventsTest.java
@@ -48,10 +48,10 @@
 import quotagateway.testing.TestRequests;
 import quotagateway.testing.TextStreams;
 import quotagateway.transport.BackendAddress;
-import quotagateway.transport.BufferMemory;
 import quotagateway.transport.ConnectionBudget;
 import quotagateway.transport.Dialer;
 import quotagateway.transport.MonotonicClock;
+import quotagateway.transport.PeerMemory;
 import quotagateway.transport.ProtocolHeaders;
 import quotagateway.transport.SocketTransport;
 
@@ -136,7 +136,7 @@
                 Dialer.sockets(loop, 5_000),
                 10_000,
                 new ConnectionBudget(100),
-                BufferMemory.unlimited(),
+                PeerMemory.unlimited(),
                 policy.servingEndpoints()));
     driver.start(null, endpointUpdate(true, 1, firstBackend, EndpointState.SERVING, 0));
   }
--- a/src/test/java/quotagateway/server/EmbeddedGateway.java
+++ b/src/test/java/quotagateway/server/EmbeddedGateway.java
@@ -21,9 +21,11 @@
 import quotagateway.endpoint.Endpoint;
 import quotagateway.endpoint.EndpointState;
 import quotagateway.lifecycle.Lifecycle;
+import quotagateway.testing.FakeHeap;
 import quotagateway.testing.GatewayFixture;
 import quotagateway.testing.PausableChannel;
 import quotagateway.transport.ConnectionBudget;
+import quotagateway.transport.HeapWatch;
 import quotagateway.transport.MonotonicClock;
 
 /**
@@ -35,6 +37,9 @@
   /** The backend's ends of the gateway's connections, in the order in which they were opened. */
   final List<PausableChannel> backends = new ArrayList<>();
 
+  /** The heap that the gateway watches. */
+  final FakeHeap heap = new FakeHeap();
+
   final Lifecycle lifecycle;
   final RequestPath path;
   private final GatewayFixture peers = new GatewayFixture();
@@ -68,6 +73,7 @@
             clock,
             (address, handler) -> connectBackend(handler),
             new ConnectionBudget(config.limits().maxConnections()),
+            new HeapWatch(heap),
             lifecycle);
     Endpoint endpoint = new Endpoint(1, "a", 0, EndpointState.SERVING, 1, 0, 1);
     path.driver().start(null, new EndpointUpdate(1, true, List.of(endpoint)));
--- a/src/test/java/quotagateway/server/ResourceLimitsTest.java
+++ b/src/test/java/quotagateway/server/ResourceLimitsTest.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -26,6 +27,7 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import quotagateway.config.ResourceLimits;
 import quotagateway.counter.CounterClient;
@@ -49,6 +51,9 @@
   private static final int MEMORY_MB = 192;
   private static final long MAX_RECOVERY_NANOS = TimeUnit.SECONDS.toNanos(3);
 
+  /** Includes the time for thousands of queued requests, which are served first. */
+  private static final long MAX_BACKLOG_NANOS = TimeUnit.SECONDS.toNanos(20);
+
   private final GatewayFixture fixture = new GatewayFixture();
   private final Socket portReservation = new Socket();
   private final AtomicBoolean peersUnavailable = new AtomicBoolean();
@@ -280,6 +285,87 @@
     }
   }
 
+  /** What a peer sends before it halts; each is larger on the heap than on the wire. */
+  enum HaltingPeer {
+    HALF_HEAD(650) {
+      @Override
+      String sent(int number) {
+        return "GET /quote/1 HTTP/1.1\r\n" + shortFields();
+      }
+    },
+    HALF_BODY(600) {
+      @Override
+      String sent(int number) {
+        String head = TestRequests.post("half-" + number, "");
+        return head.replace("Length: 0\r\n", "Length: 60000\r\n" + shortFields())
+            + "x".repeat(30_000);
+      }
+    },
+    QUEUED_HEADS(300) {
+      @Override
+      String sent(int number) {
+        // Of another customer, whose quota they use up.
+        String first = TestRequests.get("queued-" + number, 3000).replace("b4d65521", "00000001");
+        return first + (first.substring(0, first.length() - 2) + shortFields() + "\r\n").repeat(15);
+      }
+    },
+    HALF_TRAILERS(650) {
+      @Override
+      String sent(int number) {
+        String head = TestRequests.post("trailers-" + number, "");
+        return head.replace("Content-Length: 0", "Transfer-Encoding: chunked")
+            + "0\r\n"
+            + shortFields();
+      }
+    },
+    REPEATED_FIELD(650) {
+      @Override
+      String sent(int number) {
+        return "GET /quote/1 HTTP/1.1\r\n" + "X-Plan: 1\r\n".repeat(1_400);
+      }
+    };
+
+    final int peers;
+
+    HaltingPeer(int peers) {
+      this.peers = peers;
+    }
+
+    abstract String sent(int number);
+
+    private static String shortFields() {
+      return IntStream.range(0, 1_600)
+          .mapToObj(i -> "H" + i + ": 1\r\n")
+          .collect(Collectors.joining());
+    }
+  }
+
+  /**
+   * Hundreds of peers send heads of many short fields and halt. The bytes received were counted,
+   * but the decoder held each field as an entry, many times its bytes, and the process ran out of
+   * heap.
+   */
+  @ParameterizedTest
+  @EnumSource
+  void peersThatHaltDoNotEndTheProcess(HaltingPeer kind) throws Exception {
+    int port = startNamedBackend("1");
+    start(fixture.config(EndpointListJson.entry("s-1", port, "active")), 1024);
+    List<TestClient> peers = new ArrayList<>();
+    for (int i = 0; i < kind.peers; i++) {
+      try {
+        TestClient peer = new TestClient(gatewayAddress);
+        peers.add(peer);
+        peer.send(kind.sent(i));
+      } catch (IOException e) {
+        // The gateway may refuse a peer.
+      }
+    }
+    requestUntilServedBy("1", MAX_BACKLOG_NANOS);
+    for (TestClient peer : peers) {
+      peer.close();
+    }
+  }
+
   private static String endpointList(
       int version, boolean full, int from, int to, int port, String state) {
     return EndpointListJson.list(
