Reject uploads in time while their backend does not take them

Cause: the deadline was set once the last byte had been read. While the backend's socket is full the client is not read, so the last byte stays in the kernels' buffers, and no timeout ran but one of 30 s without progress.

Change: the time for which reading was paused while the rest may have been in the kernels counts as the client's time. A request is rejected after 0.4 of its time without progress, or 250 ms before its time is over; its attempt ends as WRITE_STALLED, not executed, and a failure of a backend that has answered nothing since. A deadline after the last byte has the pauses taken off.

--- a/src/main/java/quotagateway/backend/Attempt.java
+++ b/src/main/java/quotagateway/backend/Attempt.java
@@ -171,6 +171,11 @@
     };
   }
 
+  /** Returns the final status if the backend does not take the request in time. */
+  public final Status statusIfStalled() {
+    return state == State.WRITING ? Status.WRITE_STALLED : statusIfCancelled();
+  }
+
   /** Returns the final status for a cancellation. */
   public final Status statusIfCancelled() {
     return isWritten() ? Status.CANCELLED : statusIfTimedOut();
--- a/src/main/java/quotagateway/client/ClientConnection.java
+++ b/src/main/java/quotagateway/client/ClientConnection.java
@@ -194,6 +194,11 @@
     closer.closeWithError(status, reason);
   }
 
+  @Override
+  public void onBodyStalled() {
+    exchange.onBodyStalled();
+  }
+
   @Override
   public void onInputRejected(HttpResponseStatus status, String reason) {
     closer.closeWithError(status, reason);
--- a/src/main/java/quotagateway/client/Exchange.java
+++ b/src/main/java/quotagateway/client/Exchange.java
@@ -172,6 +172,13 @@
     }
   }
 
+  /** Called when the body has waited for its backend for too long; rejects the request. */
+  void onBodyStalled() {
+    if (isOpen()) {
+      context.driver().onBodyStalled(requestId);
+    }
+  }
+
   private void failInternally(RuntimeException cause) {
     LOG.log(Level.SEVERE, "request failed", cause);
     if (isOpen()) {
--- a/src/main/java/quotagateway/client/InboundRequest.java
+++ b/src/main/java/quotagateway/client/InboundRequest.java
@@ -16,6 +16,7 @@
   private final boolean malformedHead;
   private final long declaredBodyBytes;
   private double bodyStartedAtMs;
+  private double pausedMs;
   private double lastByteAtMs;
   private double timeoutMs;
   private long receivedBodyBytes;
@@ -79,13 +80,37 @@
     return bodyStartedAtMs;
   }
 
-  void excludePauseFromBodyTime(double pauseMs) {
+  /** Records that reading was paused for some time before the next bytes of the body. */
+  void recordPause(double pauseMs) {
     bodyStartedAtMs += pauseMs;
+    if (mayBeWrittenWhole()) {
+      pausedMs += pauseMs;
+    }
   }
 
   /**
-   * Returns when the last byte of the request arrived at this machine. Until then, for a request
-   * that was queued with an incomplete body, returns when it was queued.
+   * Returns for how long the client may have been waiting since it wrote the last byte: while
+   * reading is paused, the rest of the body may be in the buffers of both kernels.
+   *
+   * @param currentPauseMs the time since reading was paused, 0 if it is not
+   */
+  double maxWaitMs(double currentPauseMs) {
+    return pausedMs + (mayBeWrittenWhole() ? currentPauseMs : 0);
+  }
+
+  /** Returns whether the rest of the body fits into the buffers of the kernels. */
+  private boolean mayBeWrittenWhole() {
+    return declaredBodyBytes - receivedBodyBytes <= RequestLimits.MAX_KERNEL_BYTES;
+  }
+
+  /** Returns the time for which the client waits for the response; 0 before the acceptance. */
+  double timeoutMs() {
+    return timeoutMs;
+  }
+
+  /**
+   * Returns when the client may have written the last byte of the request. Until that has been
+   * received, for a request that was queued with an incomplete body, returns when it was queued.
    */
   double lastByteAtMs() {
     return lastByteAtMs;
--- a/src/main/java/quotagateway/client/RequestAssembler.java
+++ b/src/main/java/quotagateway/client/RequestAssembler.java
@@ -49,6 +49,9 @@
     /** Called when the rest of the body that is being received cannot be received. */
     void onBodyFailed(HttpResponseStatus status, String reason);
 
+    /** Called when the rest of the body waits for its backend for too long. */
+    void onBodyStalled();
+
     /** Called when nothing further can be read from this client. */
     void onInputRejected(HttpResponseStatus status, String reason);
 
@@ -170,7 +173,7 @@
     if (!on) {
       pausedAtMs = context.now();
     } else if (incompleteRequest != null) {
-      incompleteRequest.excludePauseFromBodyTime(context.now() - pausedAtMs);
+      incompleteRequest.recordPause(context.now() - pausedAtMs);
     }
     channel.config().setAutoRead(on);
   }
@@ -272,7 +275,8 @@
   private void completeRequest(InboundRequest request) {
     incompleteRequest = null;
     receivingSinceMs = Double.NaN;
-    request.setLastByteAtMs(context.now() - KernelSockets.msSinceLastReceive(channel));
+    double waitedMs = Math.max(KernelSockets.msSinceLastReceive(channel), request.maxWaitMs(0));
+    request.setLastByteAtMs(context.now() - waitedMs);
     request.body().end();
     listener.onRequestComplete(request);
     enqueue(request);
@@ -290,19 +294,22 @@
   }
 
   /**
-   * Fails a request whose body arrives too slowly or is not consumed. Without this, clients that
-   * stop in the middle of a body and stay connected would hold connections forever. The drawback is
-   * that a client slower than the limit is not served.
+   * Ends a request whose body arrives too slowly or is not taken by its backend. Without this,
+   * clients that stop in the middle of a body and stay connected would hold connections forever,
+   * and those that have sent all of it would get no response while the backend hangs. The drawback
+   * is that a client slower than the limit is not served.
    *
    * @param requestStartedAtMs when the client's time for the request began
    */
   void checkBodyProgress(double nowMs, double requestStartedAtMs) {
-    double maxMs = RequestLimits.maxBodyMs(incompleteRequest.receivedBodyBytes());
-    if (!channel.config().isAutoRead()) {
-      if (incompleteRequest.isAccepted() && nowMs - pausedAtMs > RequestLimits.MAX_STALL_MS) {
-        listener.onBodyFailed(HttpResponseStatus.SERVICE_UNAVAILABLE, "body is not taken");
-      }
-    } else if (nowMs - incompleteRequest.bodyStartedAtMs() > maxMs
+    InboundRequest request = incompleteRequest;
+    double pauseMs = channel.config().isAutoRead() ? 0 : nowMs - pausedAtMs;
+    double maxMs = RequestLimits.maxBodyMs(request.receivedBodyBytes());
+    if (request.isAccepted()
+        && RequestLimits.isBodyStalled(request.timeoutMs(), pauseMs, request.maxWaitMs(pauseMs))) {
+      listener.onBodyStalled();
+    } else if (pauseMs == 0
+        && nowMs - request.bodyStartedAtMs() > maxMs
         && nowMs - requestStartedAtMs > RequestLimits.MAX_HEAD_MS) {
       listener.onBodyFailed(HttpResponseStatus.REQUEST_TIMEOUT, "body is not whole in time");
     }
--- a/src/main/java/quotagateway/client/RequestLimits.java
+++ b/src/main/java/quotagateway/client/RequestLimits.java
@@ -29,11 +29,39 @@
    */
   private static final double MIN_BODY_BYTES_PER_MS = 60;
 
+  /**
+   * Most bytes of a body that the kernels of a client and of this machine hold for it, so that the
+   * client may have written its last byte although no more is being read.
+   */
+  static final long MAX_KERNEL_BYTES = 8L << 20;
+
+  /**
+   * Share of its time after which a request is rejected whose backend takes none of its body. A
+   * client that is rejected in the first half of its time can still be served elsewhere.
+   */
+  private static final double MAX_BODY_STALL_SHARE = 0.4;
+
+  /** Time before its deadline at which a request is rejected whose body still waits. */
+  private static final double BODY_WAIT_MARGIN_MS = 250;
+
   /** A peer that accepts no bytes of a body or a response for this long is assumed to be gone. */
   static final double MAX_STALL_MS = 30_000;
 
   private RequestLimits() {}
 
+  /**
+   * Returns whether a body waits for its backend for too long.
+   *
+   * @param timeoutMs the time for which the client waits for the response
+   * @param pauseMs the time since the backend last took a part of the body
+   * @param maxWaitMs the time for which the client may have been waiting since its last byte
+   */
+  static boolean isBodyStalled(double timeoutMs, double pauseMs, double maxWaitMs) {
+    double maxPauseMs = MAX_BODY_STALL_SHARE * timeoutMs;
+    return pauseMs > maxPauseMs
+        || maxWaitMs > Math.max(maxPauseMs, timeoutMs - BODY_WAIT_MARGIN_MS);
+  }
+
   /**
    * Returns how long the first {@code bodyBytes} bytes of a body may take to arrive, in
    * milliseconds.
--- a/src/main/java/quotagateway/driver/PolicyDriver.java
+++ b/src/main/java/quotagateway/driver/PolicyDriver.java
@@ -128,6 +128,28 @@
     deliver(new RequestBodyComplete(id, deadlineAtMs));
   }
 
+  /**
+   * Rejects a request whose body waits for its backend for so long that its client could not get a
+   * response in time. No backend executes it, as none gets the last byte.
+   */
+  public void onBodyStalled(String id) {
+    ActiveRequest request = requests.get(id);
+    if (request == null || request.isFinished()) {
+      return;
+    }
+    Attempt attempt = request.lastAttemptInFlight();
+    if (attempt != null) {
+      attempt.abandon(attempt.statusIfStalled());
+    }
+    // Abandoning the attempt has usually made the policy reject the request.
+    if (request.finish()) {
+      request.listener.onRejected(0);
+      request.cancelUnwrittenAttempts();
+      deliver(new ClientDisconnected(id));
+      requests.removeIfComplete(request);
+    }
+  }
+
   private void startDeadlineTimer(ActiveRequest request, double deadlineAtMs) {
     request.startDeadlineTimer(loop, clock.now(), deadlineAtMs, () -> fail(request));
   }
--- a/src/main/java/quotagateway/policy/event/Status.java
+++ b/src/main/java/quotagateway/policy/event/Status.java
@@ -14,6 +14,8 @@
   CONNECT_FAILED,
   /** The connection broke before the request was completely written. */
   WRITE_INCOMPLETE,
+  /** The peer did not take the request in time, so it was not completely written. */
+  WRITE_STALLED,
   /** The connection broke after the request was written. */
   RESET,
   /**
@@ -33,6 +35,7 @@
     return this == REJECTED
         || this == CONNECT_FAILED
         || this == WRITE_INCOMPLETE
+        || this == WRITE_STALLED
         || this == NOT_SENT;
   }
 }
--- a/src/main/java/quotagateway/policy/retry/RequestAttempts.java
+++ b/src/main/java/quotagateway/policy/retry/RequestAttempts.java
@@ -82,6 +82,7 @@
     exemptFromBudget =
         status == Status.CONNECT_FAILED
             || status == Status.WRITE_INCOMPLETE
+            || status == Status.WRITE_STALLED
             || status == Status.NOT_SENT
             || status == Status.MALFORMED_RESPONSE;
     boolean nothingSent = status == Status.CONNECT_FAILED || status == Status.NOT_SENT;
