Read ahead of a large body that waits, so that its client's close is noticed

Cause: after 64 KiB of a body reading stopped until a backend took them. If the rest is more than the kernel holds, the close stays in the client's kernel, and no query shows it; so too for a large request behind an open one.

Change: while a body waits, up to 1 MiB of it is read as long as half of the memory of requests is free.

--- a/src/main/java/quotagateway/backend/RequestBody.java
+++ b/src/main/java/quotagateway/backend/RequestBody.java
@@ -8,7 +8,9 @@
 /**
  * The body of a request, passed from its client to a backend. A body of up to {@link
  * #MAX_BUFFERED_BYTES} is buffered completely, so that further attempts can send it again. A larger
- * one is streamed with back pressure and not buffered. Confined to the event loop's thread.
+ * one is streamed with back pressure; until its stream begins, some more of it is read if there is
+ * memory for that, so that a disconnect of its client is noticed. Confined to the event loop's
+ * thread.
  *
  * <p>Buffer ownership: this object owns its internal buffer from the first {@link #add} until
  * {@link #streamTo} passes the buffer to the sink or {@link #release} frees it. The caller keeps
@@ -20,11 +22,25 @@
   /** Maximum size of a body that is buffered completely: the most that the protocol allows. */
   public static final int MAX_BUFFERED_BYTES = 64 * 1024;
 
+  /**
+   * Most bytes of a body that are read before it is streamed, in order to notice a client that
+   * closes its connection behind them while the request waits.
+   */
+  private static final int MAX_READ_AHEAD_BYTES = 1 << 20;
+
+  /** Least growth of the buffer while a body is read ahead. */
+  private static final int READ_AHEAD_STEP_BYTES = 64 * 1024;
+
   /** The client's side, from which the body is read. */
   public interface Source {
 
     /** Resumes or pauses reading. */
     void setReading(boolean enabled);
+
+    /** Returns whether there is memory to read more than has to be buffered. */
+    default boolean mayReadAhead() {
+      return false;
+    }
   }
 
   /** The backend's side, to which the body is streamed. */
@@ -99,14 +115,25 @@
     if (capacityBefore == 0) {
       buffer = Unpooled.buffer(bytes.readableBytes());
     }
-    BufferGrowth.ensureWritable(buffer, bytes.readableBytes());
+    makeRoom(bytes.readableBytes());
     buffer.writeBytes(bytes);
     heldBytesListener.accept(buffer.capacity() - capacityBefore);
-    if (exceedsBuffer()) {
+    if (exceedsBuffer() && !mayReadAhead()) {
       source.setReading(false);
     }
   }
 
+  private void makeRoom(int bytes) {
+    if (buffer.writableBytes() < bytes) {
+      int growthBytes = exceedsBuffer() ? READ_AHEAD_STEP_BYTES : 0;
+      BufferGrowth.ensureWritable(buffer, Math.max(growthBytes, bytes));
+    }
+  }
+
+  private boolean mayReadAhead() {
+    return buffer.readableBytes() < MAX_READ_AHEAD_BYTES && source.mayReadAhead();
+  }
+
   /**
    * Marks the body as complete and resumes reading from its source. If reading paused at the last
    * bytes, nothing else would resume it, and the client's connection would never be read again.
--- a/src/main/java/quotagateway/client/ConnectionMemory.java
+++ b/src/main/java/quotagateway/client/ConnectionMemory.java
@@ -50,6 +50,11 @@
     memory.requests().adjust(change);
   }
 
+  /** Returns whether so little is held by all requests that one may hold more than it needs. */
+  boolean mayReadAhead() {
+    return memory.requests().isHalfFree();
+  }
+
   /** Returns the memory of what has been received and of the client's requests. */
   int heldBytes() {
     return decodingBytes + requestBytes;
--- a/src/main/java/quotagateway/client/RequestAssembler.java
+++ b/src/main/java/quotagateway/client/RequestAssembler.java
@@ -14,7 +14,7 @@
  * it is complete, or as soon as it is known that it will be streamed or rejected. Confined to the
  * event loop's thread; times are in milliseconds on the gateway's clock.
  */
-final class RequestAssembler {
+final class RequestAssembler implements RequestBody.Source {
 
   /** Receives the assembled requests; implemented by the connection. */
   interface Listener {
@@ -166,7 +166,8 @@
   /**
    * Resumes reading, or pauses it and leaves what the client sends in the kernel's receive buffer.
    */
-  void setReading(boolean on) {
+  @Override
+  public void setReading(boolean on) {
     if (on == channel.config().isAutoRead()) {
       return;
     }
@@ -178,11 +179,15 @@
     channel.config().setAutoRead(on);
   }
 
+  @Override
+  public boolean mayReadAhead() {
+    return memory.mayReadAhead();
+  }
+
   /** Processes the head of a request. */
   void onHead(HttpRequest head) {
     InboundRequest request =
-        new InboundRequest(
-            head, new RequestBody(this::setReading, memory::adjustRequestBytes), context.now());
+        new InboundRequest(head, new RequestBody(this, memory::adjustRequestBytes), context.now());
     if (!listener.isIdle() && (listener.isQueueFull() || request.isMalformed())) {
       // Reading continues so that a disconnect of the client is noticed; the limit applies to what
       // is kept.
--- a/src/main/java/quotagateway/transport/MemoryPool.java
+++ b/src/main/java/quotagateway/transport/MemoryPool.java
@@ -48,6 +48,11 @@
     return heldBytes + bytes <= limitBytes && (whole == null || whole.hasRoomFor(bytes));
   }
 
+  /** Returns whether no more than half of the limit of this pool is held. */
+  public boolean isHalfFree() {
+    return heldBytes <= limitBytes / 2 && hasRoomFor(0);
+  }
+
   /**
    * Reserves bytes if the limits leave room for them.
    *
--- a/src/test/java/quotagateway/server/ClientDisconnectTest.java
+++ b/src/test/java/quotagateway/server/ClientDisconnectTest.java
@@ -248,6 +248,34 @@
     assertRequestWasNotForwarded();
   }
 
+  /**
+   * The client's close is behind more of its body than the kernel holds. While the request waits,
+   * the gateway must read on, or it would not notice the close and begin an attempt when the wait
+   * is over. So it must if the body belongs to a request that waits behind an open one.
+   */
+  @ParameterizedTest
+  @CsvSource({
+    "CLOSE,false",
+    "HALF_CLOSE,false",
+    "RESET,false",
+    "CLOSE,true",
+    "HALF_CLOSE,true",
+    "RESET,true"
+  })
+  void disconnectBehindHugeBodyIsNoticedWhileItsRequestWaits(
+      DisconnectKind disconnectKind, boolean afterAnotherRequest) throws Exception {
+    start(config());
+    TestClient client = fixture.client();
+    String post = post(HUGE_BODY_BYTES);
+    OutputStream counterCall =
+        sendWithCounterCallUnanswered(
+            client, afterAnotherRequest ? TestRequests.get("first", 90_000) + post : post);
+    disconnectKind.disconnect(client);
+    awaitNoConnections();
+    TextStreams.write(counterCall, "ok 2\r\n");
+    assertRequestWasNotForwarded();
+  }
+
   /**
    * A request waits for a backend, as discovery has listed none yet. The client disconnects before
    * a backend is listed. The request must not be sent to that backend.
