Keep the heap small where the process has little memory

Cause: the heap has 48 MB whatever the limit, and garbage touches all its pages; 50 MB and more come beside it.

Change: HeapWatch also collects when 0.9 of a third of the memory is in use, and the shares of peers are parts of that.

The tests are new methods that did not compile before.

--- a/src/main/java/quotagateway/config/ResourceLimits.java
+++ b/src/main/java/quotagateway/config/ResourceLimits.java
@@ -14,6 +14,7 @@
  * @param maxConnections most connections to clients and backends together
  * @param maxConnectionsDuringUpgrade the same limit while a second process with the same limits
  *     runs in parallel
+ * @param heapBytes heap to use, garbage included; may be less than the virtual machine's maximum
  * @param maxHeapBytes most heap that clients, requests and heads of messages may take
  * @param maxBodyBytes most of that heap that requests may take, with their heads and bodies
  * @param maxBufferBytes most memory of what passes between clients and backends
@@ -23,6 +24,7 @@
 public record ResourceLimits(
     int maxConnections,
     int maxConnectionsDuringUpgrade,
+    long heapBytes,
     long maxHeapBytes,
     int maxBodyBytes,
     long maxBufferBytes,
@@ -68,6 +70,13 @@
   static final double DEFAULT_CORES = 1;
 
   private static final int BYTES_PER_MB = 1 << 20;
+
+  /**
+   * Share of the memory that the heap may take. The rest is for buffers, and for the classes, the
+   * compiled code and the threads of the virtual machine.
+   */
+  private static final double HEAP_MEMORY_SHARE = 1.0 / 3;
+
   private static final double PEER_HEAP_SHARE = 1.0 / 3;
   private static final double BODY_MEMORY_SHARE = 1.0 / 16;
   private static final double BUFFER_MEMORY_SHARE = 1.0 / 8;
@@ -102,10 +111,14 @@
         Math.min(
             memoryMb * BUFFER_MEMORY_SHARE * BYTES_PER_MB,
             (double) SocketTransport.maxBufferBytes());
+    double heapBytes =
+        Math.min(
+            memoryMb * HEAP_MEMORY_SHARE * BYTES_PER_MB, (double) Runtime.getRuntime().maxMemory());
     return new ResourceLimits(
         Math.max(MIN_CONNECTIONS, connections),
         Math.max(MIN_CONNECTIONS, connectionsDuringUpgrade),
-        (long) (Runtime.getRuntime().maxMemory() * PEER_HEAP_SHARE),
+        (long) heapBytes,
+        (long) (heapBytes * PEER_HEAP_SHARE),
         (int) (memoryMb * BODY_MEMORY_SHARE * BYTES_PER_MB),
         (long) bufferBytes,
         maxEndpoints(memoryMb, (double) Runtime.getRuntime().maxMemory()),
--- a/src/main/java/quotagateway/server/RequestPath.java
+++ b/src/main/java/quotagateway/server/RequestPath.java
@@ -32,7 +32,7 @@
       Dialer backendDialer,
       ConnectionBudget budget,
       Lifecycle lifecycle) {
-    HeapWatch heapWatch = HeapWatch.ofThisProcess();
+    HeapWatch heapWatch = HeapWatch.ofThisProcess(config.limits().heapBytes());
     return create(config, seed, loop, clock, backendDialer, budget, heapWatch, lifecycle);
   }
 
--- a/src/main/java/quotagateway/transport/HeapWatch.java
+++ b/src/main/java/quotagateway/transport/HeapWatch.java
@@ -36,18 +36,38 @@
   /** Minimum time between collections while the heap is exhausted. */
   private static final double MIN_COLLECT_INTERVAL_MS = 250;
 
+  /** Growth since the last collection after which the next one may keep the heap small. */
+  private static final double GROWTH_SHARE = 0.25;
+
   private final Heap heap;
+  private final long targetBytes;
+  private long liveBytes;
   private boolean exhausted;
   private double collectedAtMs = Double.NEGATIVE_INFINITY;
 
   /** Creates a watch of a heap that is not exhausted. */
   public HeapWatch(Heap heap) {
+    this(heap, heap.maxBytes());
+  }
+
+  /**
+   * Creates a watch that also keeps the heap small.
+   *
+   * @param targetBytes the part of the heap to use, garbage included, as long as what is in use
+   *     allows that; the memory of the rest is then not touched
+   */
+  public HeapWatch(Heap heap, long targetBytes) {
     this.heap = heap;
+    this.targetBytes = targetBytes;
   }
 
-  /** Returns a watch of this process's heap. */
-  public static HeapWatch ofThisProcess() {
-    return new HeapWatch(new RuntimeHeap());
+  /**
+   * Returns a watch of this process's heap.
+   *
+   * @param targetBytes the part of the heap to use, garbage included
+   */
+  public static HeapWatch ofThisProcess(long targetBytes) {
+    return new HeapWatch(new RuntimeHeap(), targetBytes);
   }
 
   /**
@@ -63,7 +83,7 @@
     }
     heap.collect();
     collectedAtMs = nowMs;
-    long liveBytes = heap.usedBytes();
+    liveBytes = heap.usedBytes();
     exhausted = liveBytes > EXHAUSTED_SHARE * heap.maxBytes();
     return exhausted ? liveBytes - (long) (RELIEF_SHARE * heap.maxBytes()) : 0;
   }
@@ -72,7 +92,10 @@
     if (exhausted && nowMs - collectedAtMs < MIN_COLLECT_INTERVAL_MS) {
       return usedBytes > FULL_SHARE * heap.maxBytes();
     }
-    return exhausted || usedBytes > COLLECT_SHARE * heap.maxBytes();
+    return exhausted
+        || usedBytes > COLLECT_SHARE * heap.maxBytes()
+        || (usedBytes > COLLECT_SHARE * targetBytes
+            && usedBytes > liveBytes + GROWTH_SHARE * targetBytes);
   }
 
   /** Returns whether the heap was exhausted at the last check that collected garbage. */
--- a/src/test/java/quotagateway/config/ResourceLimitsDivisionTest.java
+++ b/src/test/java/quotagateway/config/ResourceLimitsDivisionTest.java
@@ -41,6 +41,16 @@
     assertFalse(streams.hasRoomFor((16 << 20) / (64 * 1024) * PeerMemory.STREAM_BYTES + 1));
   }
 
+  /**
+   * A heap that fills up touches all its pages. With little memory the rest of the process, 50 MB
+   * and more, would then not fit beside it, and the process would be killed.
+   */
+  @Test
+  void heapInUseLeavesRoomForTheRestOfTheProcess() {
+    assertTrue(ResourceLimits.of(1024, 96, 1).heapBytes() <= 32 << 20);
+    assertTrue(ResourceLimits.of(1024, 1e6, 1).heapBytes() <= Runtime.getRuntime().maxMemory());
+  }
+
   /**
    * Endpoints may use a sixth of the memory at 150 bytes each, or two thirds of the heap if that is
    * less.
--- a/src/test/java/quotagateway/transport/HeapWatchTest.java
+++ b/src/test/java/quotagateway/transport/HeapWatchTest.java
@@ -58,6 +58,31 @@
     assertEquals(380, watch.check(1));
   }
 
+  /** With little memory, garbage must not touch pages that the rest of the process needs. */
+  @Test
+  void garbageIsCollectedAtTheTargetSize() {
+    HeapWatch smallWatch = new HeapWatch(heap, 600);
+    heap.liveBytes = 300;
+    heap.garbageBytes = 230;
+    smallWatch.check(0);
+    assertEquals(0, heap.collections);
+    heap.garbageBytes = 250;
+    assertEquals(0, smallWatch.check(0));
+    assertEquals(1, heap.collections);
+  }
+
+  /** If more than the target is in use, collecting for it again and again would be in vain. */
+  @Test
+  void heapInUseBeyondTheTargetIsNotCollectedAtEachCheck() {
+    HeapWatch smallWatch = new HeapWatch(heap, 600);
+    heap.liveBytes = 700;
+    smallWatch.check(0);
+    heap.garbageBytes = 140;
+    smallWatch.check(1);
+    assertEquals(1, heap.collections);
+    assertFalse(smallWatch.isExhausted());
+  }
+
   @Test
   void heapIsNotExhaustedAfterWorkHasEnded() {
     heap.liveBytes = 910;
