Limit the accounts of customers that requests name

Cause: CustomerAccounts made an account for each customer named and kept it for 60 s, in any number.

Change: accounts have a sixth of the heap in use, 1,024 at the least. An account stays while requests refer to it or its hard limit is not refilled.

--- a/src/main/java/quotagateway/config/ResourceLimits.java
+++ b/src/main/java/quotagateway/config/ResourceLimits.java
@@ -18,6 +18,7 @@
  * @param maxHeapBytes most heap that clients, requests and heads of messages may take
  * @param maxBodyBytes most of that heap that requests may take, with their heads and bodies
  * @param maxBufferBytes most memory of what passes between clients and backends
+ * @param maxCustomers most customers to keep state for
  * @param maxEndpoints most endpoints that an endpoint list may name
  * @param cores processor cores available to the process; may be a fraction
  */
@@ -28,6 +29,7 @@
     long maxHeapBytes,
     int maxBodyBytes,
     long maxBufferBytes,
+    int maxCustomers,
     int maxEndpoints,
     double cores) {
 
@@ -81,6 +83,13 @@
   private static final double BODY_MEMORY_SHARE = 1.0 / 16;
   private static final double BUFFER_MEMORY_SHARE = 1.0 / 8;
 
+  private static final double CUSTOMER_HEAP_SHARE = 1.0 / 6;
+
+  /** Memory of the state of one customer. */
+  private static final int CUSTOMER_BYTES = 400;
+
+  private static final int MIN_CUSTOMERS = 1_024;
+
   private static final double ENDPOINT_MEMORY_SHARE = 1.0 / 6;
   private static final double ENDPOINT_HEAP_SHARE = 2.0 / 3;
 
@@ -121,6 +130,7 @@
         (long) (heapBytes * PEER_HEAP_SHARE),
         (int) (memoryMb * BODY_MEMORY_SHARE * BYTES_PER_MB),
         (long) bufferBytes,
+        maxCustomers(heapBytes),
         maxEndpoints(memoryMb, (double) Runtime.getRuntime().maxMemory()),
         cores);
   }
@@ -130,6 +140,10 @@
     return PeerMemory.of(maxBufferBytes, maxHeapBytes, maxBodyBytes);
   }
 
+  private static int maxCustomers(double heapBytes) {
+    return Math.max(MIN_CUSTOMERS, (int) (heapBytes * CUSTOMER_HEAP_SHARE / CUSTOMER_BYTES));
+  }
+
   private static int maxEndpoints(double memoryMb, double heapBytes) {
     double memoryBytes = memoryMb * BYTES_PER_MB * ENDPOINT_MEMORY_SHARE;
     double usableHeapBytes = heapBytes * ENDPOINT_HEAP_SHARE;
--- a/src/main/java/quotagateway/policy/GatewayPolicy.java
+++ b/src/main/java/quotagateway/policy/GatewayPolicy.java
@@ -87,29 +87,25 @@
   /** Requests by attempt in progress, including requests that a disconnection has closed. */
   private final Map<AttemptKey, OpenRequest> requestsByAttempt = new HashMap<>();
 
-  /**
-   * Creates a policy with its own endpoint index.
-   *
-   * @param settings the initial settings
-   * @param seed the seed of the random number generator
-   */
+  /** Creates a policy with its own endpoint index that keeps state for any number of customers. */
   public GatewayPolicy(PolicySettings settings, long seed) {
-    this(settings, seed, new EndpointIndex(settings.gatewayIndex()));
+    this(settings, seed, new EndpointIndex(settings.gatewayIndex()), Integer.MAX_VALUE);
   }
 
   /**
-   * Creates a policy that keeps its endpoints in the given index.
+   * Creates a policy that keeps state for a limited number of customers.
    *
    * @param settings the initial settings
    * @param seed the seed of the random number generator
    * @param index an empty index, which only this policy modifies
+   * @param maxCustomers most customers to keep state for, besides those with open requests
    */
-  public GatewayPolicy(PolicySettings settings, long seed, EndpointIndex index) {
+  public GatewayPolicy(PolicySettings settings, long seed, EndpointIndex index, int maxCustomers) {
     this.index = index;
     context = new DecisionContext(settings, seed);
     loadShedder = new LoadShedder(context, () -> index.serving().size());
     router = new BackendRouter(context, index, loadShedder.attemptsInFlight());
-    quotaLimiter = new QuotaLimiter(context, new BackendLoadForQuota());
+    quotaLimiter = new QuotaLimiter(context, new BackendLoadForQuota(), maxCustomers);
     RetryBudget retryBudget = new RetryBudget(settings.gatewayCount());
     retryPolicy = new RetryPolicy(context, retryBudget);
     attemptTimeout = new AttemptTimeout(retryBudget);
--- a/src/main/java/quotagateway/policy/quota/CustomerAccount.java
+++ b/src/main/java/quotagateway/policy/quota/CustomerAccount.java
@@ -55,6 +55,7 @@
   private static final double FIXED_WINDOW_RATE_LIFETIME_MS = HEAVY_USE_LIFETIME_MS / 3;
 
   private final DecisionContext context;
+  private final long customer;
 
   /** Number of gateways through which the customer's requests may arrive. */
   private final int gateways;
@@ -82,6 +83,7 @@
 
   private double lastReplyTotalUnits;
   private int attemptsInFlight;
+  private int openRequests;
 
   /**
    * Creates an account for a customer that this gateway has not seen before.
@@ -93,6 +95,7 @@
    */
   CustomerAccount(DecisionContext context, long customer, Plan plan, int gatewaysOfCustomer) {
     this.context = context;
+    this.customer = customer;
     gateways = Math.max(1, Math.min(gatewaysOfCustomer, context.settings().gatewayCount()));
     advancedAtMs = context.nowMs();
     windows = new CounterWindows(customer);
@@ -107,10 +110,33 @@
     rates = new UseRates(plan.unitsPerSecond() * peerUseRatio);
   }
 
+  long customer() {
+    return customer;
+  }
+
   Plan plan() {
     return plan;
   }
 
+  /**
+   * Returns whether this account must be kept: requests or attempts refer to it, or a new account
+   * would have more of a hard limit than is left.
+   */
+  boolean isInUse() {
+    double unusedSeconds = (context.nowMs() - advancedAtMs) / 1000;
+    return openRequests > 0 || attemptsInFlight > 0 || !hardLimit.isRefilledAfter(unusedSeconds);
+  }
+
+  /** Records that a request refers to this account until {@link #recordRequestEnd}. */
+  void recordRequestStart() {
+    openRequests++;
+  }
+
+  /** Records the end of a request. */
+  void recordRequestEnd() {
+    openRequests--;
+  }
+
   int gateways() {
     return gateways;
   }
--- a/src/main/java/quotagateway/policy/quota/HardLimit.java
+++ b/src/main/java/quotagateway/policy/quota/HardLimit.java
@@ -27,6 +27,9 @@
   private double sharedUnits;
   private double localUnits;
 
+  /** Whether any units have been taken. */
+  private boolean drawn;
+
   HardLimit(DecisionContext context, Plan plan, int gateways) {
     this.context = context;
     this.plan = plan;
@@ -70,13 +73,25 @@
     }
     if (confirmed && sharedUnits >= units) {
       sharedUnits -= units;
-      return true;
-    }
-    if (localUnits >= units) {
+    } else if (localUnits >= units) {
       localUnits -= units;
-      return true;
+    } else {
+      return false;
     }
-    return false;
+    drawn = true;
+    return true;
+  }
+
+  /**
+   * Returns whether a new instance would have no more units than this one, so that this one may be
+   * dropped.
+   *
+   * @param unusedSeconds the time since the last request
+   */
+  boolean isRefilledAfter(double unusedSeconds) {
+    return !isSet()
+        || !drawn
+        || unusedSeconds * plan.hardLimitUnitsPerSecond() >= plan.hardLimitBurstUnits();
   }
 
   /**
--- a/src/main/java/quotagateway/policy/quota/QuotaLimiter.java
+++ b/src/main/java/quotagateway/policy/quota/QuotaLimiter.java
@@ -43,9 +43,20 @@
    * @param backendLoad the state of the backends that decisions depend on in addition to quotas
    */
   public QuotaLimiter(DecisionContext context, BackendLoad backendLoad) {
+    this(context, backendLoad, Integer.MAX_VALUE);
+  }
+
+  /**
+   * Creates a limiter that keeps a limited number of customer accounts.
+   *
+   * @param context provides the time, the settings and random draws, and collects actions
+   * @param backendLoad the state of the backends that decisions depend on in addition to quotas
+   * @param maxCustomers most customers to keep an account for, besides those with open requests
+   */
+  public QuotaLimiter(DecisionContext context, BackendLoad backendLoad, int maxCustomers) {
     this.context = context;
     this.backendLoad = backendLoad;
-    accounts = new CustomerAccounts(context);
+    accounts = new CustomerAccounts(context, maxCustomers);
     pendingCalls = new PendingCounterCalls(context);
     throttle = new CounterCallThrottle(context);
     concurrencyLimiter = new ConcurrencyLimiter(context, pendingCalls);
@@ -60,6 +71,7 @@
    */
   public QuotaReservation open(RequestReceived request, double classPriorityWeight) {
     CustomerAccount account = accounts.forRequest(request, backendLoad.meanServiceMs());
+    account.recordRequestStart();
     return new QuotaReservation(request.requestId(), account, request.units(), classPriorityWeight);
   }
 
@@ -144,11 +156,15 @@
    * permit.
    */
   public void end(QuotaReservation reservation) {
+    if (!reservation.ended) {
+      reservation.account.recordRequestEnd();
+    }
     concurrencyLimiter.end(reservation);
   }
 
   /** Records that a backend has received an attempt's complete request and is processing it. */
   public void recordAttemptStart(QuotaReservation reservation) {
+    accounts.markUsed(reservation.account);
     reservation.account.recordAttemptStart();
   }
 
--- a/src/main/java/quotagateway/server/RequestPath.java
+++ b/src/main/java/quotagateway/server/RequestPath.java
@@ -6,8 +6,10 @@
 import quotagateway.client.RequestReader;
 import quotagateway.config.GatewayConfig;
 import quotagateway.driver.PolicyDriver;
+import quotagateway.endpoint.EndpointIndex;
 import quotagateway.lifecycle.Lifecycle;
 import quotagateway.policy.GatewayPolicy;
+import quotagateway.policy.settings.PolicySettings;
 import quotagateway.transport.ConnectionBudget;
 import quotagateway.transport.Dialer;
 import quotagateway.transport.HeapWatch;
@@ -53,7 +55,13 @@
       ConnectionBudget budget,
       HeapWatch heapWatch,
       Lifecycle lifecycle) {
-    GatewayPolicy policy = new GatewayPolicy(config.settings(), seed);
+    PolicySettings settings = config.settings();
+    GatewayPolicy policy =
+        new GatewayPolicy(
+            settings,
+            seed,
+            new EndpointIndex(settings.gatewayIndex()),
+            config.limits().maxCustomers());
     PeerMemory memory = config.limits().newPeerMemory();
     BackendConnectionPool backendPool =
         new BackendConnectionPool(
@@ -71,7 +79,7 @@
             clock,
             driver,
             backendPool,
-            new RequestReader(config.settings()),
+            new RequestReader(settings),
             budget,
             memory,
             heapWatch,
--- a/src/test/java/quotagateway/endpoint/EndpointIndexTest.java
+++ b/src/test/java/quotagateway/endpoint/EndpointIndexTest.java
@@ -98,7 +98,7 @@
             seed,
             gateways,
             backends,
-            settings -> new GatewayPolicy(settings, seed, index),
+            settings -> new GatewayPolicy(settings, seed, index, Integer.MAX_VALUE),
             (nowMs, event, emitted) -> actions.add(event + " at " + nowMs + ": " + emitted))
         .run(2_000);
     return actions;
