Await slow responses that nothing can replace

Cause: a buffered response was given up after 250 ms without progress also where no other attempt may replace it; a streamed one after 10 s, though backends hang for up to 24 s by the record of incidents.

Change: the first is awaited until its attempt's timeout, the second given up after 30 s.

Two tests of StalledResponseTest failed before.

--- a/src/main/java/quotagateway/backend/ResponseReceiver.java
+++ b/src/main/java/quotagateway/backend/ResponseReceiver.java
@@ -311,7 +311,7 @@
   }
 
   private void checkProgress() {
-    if (!paused && stallTimer.isStalled(attempt.hasResponseStarted())) {
+    if (!paused && mayBeGivenUp() && stallTimer.isStalled(attempt.hasResponseStarted())) {
       listener.responseMalformed();
       return;
     }
@@ -323,6 +323,14 @@
     }
   }
 
+  /**
+   * Returns whether the response may be given up for lack of progress. Not before it is streamed if
+   * no other attempt could replace it; the attempt's timeout then limits the wait.
+   */
+  private boolean mayBeGivenUp() {
+    return attempt.hasResponseStarted() || !attempt.isNonIdempotent();
+  }
+
   /**
    * Returns whether the response may be sent slowly on purpose, so that the client awaits its first
    * bytes. That is possible only if the response does not announce its length.
--- a/src/main/java/quotagateway/backend/StalledResponseTimer.java
+++ b/src/main/java/quotagateway/backend/StalledResponseTimer.java
@@ -19,10 +19,10 @@
   private static final long MAX_BUFFERED_STALL_MS = 250;
 
   /**
-   * Maximum time without progress of a streamed response. It is longer because the client already
-   * has part of the response, so that no other attempt can replace it.
+   * Maximum time without progress of a streamed response. It is longer than backends hang, because
+   * the client already has part of the response, so that no other attempt can replace it.
    */
-  private static final double MAX_STREAMED_STALL_MS = 10_000;
+  private static final double MAX_STREAMED_STALL_MS = 30_000;
 
   private final EventLoop loop;
   private final MonotonicClock clock;
--- a/src/test/java/quotagateway/backend/StalledResponseTest.java
+++ b/src/test/java/quotagateway/backend/StalledResponseTest.java
@@ -42,6 +42,10 @@
   private long nowNanos;
 
   private void startAttempt() {
+    startAttempt(HttpMethod.GET);
+  }
+
+  private void startAttempt(HttpMethod method) {
     BackendConnectionPool pool =
         new BackendConnectionPool(
             new EmbeddedChannel().eventLoop(),
@@ -56,15 +60,15 @@
             new SingleEndpoint(1));
     Endpoint endpoint = new Endpoint(1, "a", 0, EndpointState.SERVING, 1, 0);
     pool.onEndpointsUpdated(new EndpointUpdate(1, true, List.of(endpoint)));
-    pool.start(1, new RecordedAttempt(), NO_WRITE_LIMIT);
+    pool.start(1, new RecordedAttempt(method), NO_WRITE_LIMIT);
     connection.releaseOutbound();
   }
 
   private final class RecordedAttempt extends Attempt {
 
-    RecordedAttempt() {
+    RecordedAttempt(HttpMethod method) {
       super(
-          new DefaultHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, "/quote/1"),
+          new DefaultHttpRequest(HttpVersion.HTTP_1_1, method, "/quote/1"),
           RequestBody.of(Unpooled.EMPTY_BUFFER),
           5_000);
     }
@@ -129,6 +133,43 @@
     assertEquals(List.of("OK"), results);
   }
 
+  /**
+   * No other attempt may replace the response to a request that must not run twice. It was given up
+   * after the same pause, and its client got an error, although its backend went on.
+   */
+  @Test
+  void responseThatCannotBeReplacedIsAwaited() {
+    startAttempt(HttpMethod.POST);
+    receive("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\n");
+    for (int i = 0; i < 8; i++) {
+      advance(2 * MAX_STALL_MS);
+      receive("x");
+    }
+    assertEquals(List.of("OK xxxxxxxx"), results);
+  }
+
+  /**
+   * A backend hangs in the middle of a response and goes on after 24 s. The client has a part of
+   * it, which no other attempt can complete, so giving it up cut off what the backend still sent.
+   */
+  @Test
+  void streamedResponseIsAwaitedForLongerThanBackendsHang() {
+    startAttempt();
+    receive("HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\nx");
+    advance(24_000);
+    receive("x".repeat(99_999));
+    assertEquals(100_000, streamed.length());
+    assertEquals(List.of("OK"), results);
+  }
+
+  @Test
+  void streamedResponseIsGivenUpIfNothingMoreComes() {
+    startAttempt();
+    receive("HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\nx");
+    advance(31_000);
+    assertEquals(List.of("RESET"), results);
+  }
+
   /** The check runs every 250 ms, so a stall is detected after at most twice the limit. */
   @Test
   void stalledResponseEndsAsMalformed() {
