Share a gateway's part of a hard limit between the processes of an upgrade

Cause: each process held the gateway's whole local part; nothing told the policy of the other process.

Change: UpgradeSharing notices the other process and tells the policy by ProcessCountChanged; each process then has half of its gateway's parts and of their refill. GatewayPolicyTest#handlesEveryEventType sends the new event too.

--- a/src/main/java/quotagateway/driver/PolicyDriver.java
+++ b/src/main/java/quotagateway/driver/PolicyDriver.java
@@ -20,6 +20,7 @@
 import quotagateway.policy.event.CounterReplied;
 import quotagateway.policy.event.EndpointsUpdated;
 import quotagateway.policy.event.Event;
+import quotagateway.policy.event.ProcessCountChanged;
 import quotagateway.policy.event.RequestBodyComplete;
 import quotagateway.policy.event.RequestReceived;
 import quotagateway.policy.event.SettingsChanged;
@@ -180,6 +181,11 @@
     deliver(new SettingsChanged(settings));
   }
 
+  /** Handles the start or the end of another process of this gateway. */
+  public void onProcessCountChanged(int processes) {
+    deliver(new ProcessCountChanged(processes));
+  }
+
   /** Handles the end of a call to the shared counter. */
   public void onCounterReplied(CounterReplied reply) {
     deliver(reply);
--- a/src/main/java/quotagateway/policy/GatewayPolicy.java
+++ b/src/main/java/quotagateway/policy/GatewayPolicy.java
@@ -19,6 +19,7 @@
 import quotagateway.policy.event.CounterReplied;
 import quotagateway.policy.event.EndpointsUpdated;
 import quotagateway.policy.event.Event;
+import quotagateway.policy.event.ProcessCountChanged;
 import quotagateway.policy.event.RequestBodyComplete;
 import quotagateway.policy.event.RequestReceived;
 import quotagateway.policy.event.ResponseStarted;
@@ -154,6 +155,8 @@
       onTimerFired(fired);
     } else if (event instanceof SettingsChanged changed) {
       onSettingsChanged(changed.settings());
+    } else if (event instanceof ProcessCountChanged changed) {
+      quotaLimiter.changeProcesses(changed.processes());
     } else {
       // Unreachable: Event is sealed, and the branches above cover all permitted types.
       throw new IllegalArgumentException("unsupported event type: " + event);
--- a/src/main/java/quotagateway/policy/context/DecisionContext.java
+++ b/src/main/java/quotagateway/policy/context/DecisionContext.java
@@ -20,6 +20,8 @@
   private final SplittableRandom random;
   private PolicySettings settings;
   private double startedAtMs;
+  private int processes = 1;
+  private double processesChangedAtMs;
   private double nowMs;
   private List<Action> actions = new ArrayList<>();
 
@@ -37,6 +39,7 @@
   /** Records the time at which the policy starts. Called once, before any event. */
   public void start(double timeMs) {
     startedAtMs = timeMs;
+    processesChangedAtMs = timeMs;
     begin(timeMs);
   }
 
@@ -56,6 +59,22 @@
     return startedAtMs;
   }
 
+  /** Returns the number of processes of this gateway, this one included. */
+  public int processes() {
+    return processes;
+  }
+
+  /** Returns the time at which the number of processes last changed, at first the start. */
+  public double processesChangedAtMs() {
+    return processesChangedAtMs;
+  }
+
+  /** Changes the number of processes of this gateway. */
+  public void changeProcesses(int newProcesses) {
+    processes = newProcesses;
+    processesChangedAtMs = nowMs;
+  }
+
   /** Returns the settings in force. */
   public PolicySettings settings() {
     return settings;
--- a/src/main/java/quotagateway/policy/event/Event.java
+++ b/src/main/java/quotagateway/policy/event/Event.java
@@ -6,6 +6,7 @@
         ClientDisconnected,
         CounterReplied,
         EndpointsUpdated,
+        ProcessCountChanged,
         RequestBodyComplete,
         RequestReceived,
         ResponseStarted,
--- a/src/main/java/quotagateway/policy/quota/CustomerAccount.java
+++ b/src/main/java/quotagateway/policy/quota/CustomerAccount.java
@@ -102,9 +102,9 @@
     hardLimit = new HardLimit(context, plan, gateways);
     applyPlan(plan);
     availableUnits = bucketSizeUnits();
-    // This gateway may replace one that has just used up the hard limit. The hard limit therefore
-    // starts with no more than the refill since the start of the policy.
-    hardLimit.refill((context.nowMs() - context.startedAtMs()) / 1000);
+    // This gateway may replace one that has just used up the hard limit, or another process may
+    // have. The hard limit therefore starts with no more than the refill since then.
+    hardLimit.refill((context.nowMs() - context.processesChangedAtMs()) / 1000);
     localShare = new LocalShare(context, gateways);
     double peerUseRatio = usesFixedWindow() ? DEFAULT_USE_RATIO : 1 - 1.0 / gateways;
     rates = new UseRates(plan.unitsPerSecond() * peerUseRatio);
--- a/src/main/java/quotagateway/policy/quota/CustomerAccounts.java
+++ b/src/main/java/quotagateway/policy/quota/CustomerAccounts.java
@@ -96,6 +96,12 @@
     }
   }
 
+  /** Brings all accounts up to the current time. */
+  void advance(double meanServiceMs) {
+    used.values().forEach(account -> account.advance(meanServiceMs));
+    unused.values().forEach(account -> account.advance(meanServiceMs));
+  }
+
   private void indexPlans() {
     plansByName.clear();
     context.settings().plans().forEach(plan -> plansByName.put(plan.name(), plan));
--- a/src/main/java/quotagateway/policy/quota/HardLimit.java
+++ b/src/main/java/quotagateway/policy/quota/HardLimit.java
@@ -10,7 +10,7 @@
  * <p>The bucket is split. The local part belongs to this gateway alone and needs no counter. Only
  * requests for which the counter has replied may draw on the shared part. Neither part is ever
  * larger than its share of the bucket, so the sum stays within the limit whatever the counter
- * replies or forgets.
+ * replies or forgets. While another process of this gateway runs, each has half of its parts.
  *
  * <p>Without this split, gateways could break the hard limit if they all lost the counter, or
  * knowledge of each other's use, at the same time. The drawback is that units of a local part that
@@ -47,8 +47,9 @@
 
   /** Adds the refill of the given number of seconds, up to the size of each part. */
   void refill(double seconds) {
-    double burstUnits = plan.hardLimitBurstUnits() + plan.hardLimitSlackUnits() / 2;
-    double unitsPerSecond = plan.hardLimitUnitsPerSecond();
+    int processes = context.processes();
+    double burstUnits = (plan.hardLimitBurstUnits() + plan.hardLimitSlackUnits() / 2) / processes;
+    double unitsPerSecond = plan.hardLimitUnitsPerSecond() / processes;
     double localFraction = localFraction();
     sharedUnits =
         Math.min(
--- a/src/main/java/quotagateway/policy/quota/QuotaLimiter.java
+++ b/src/main/java/quotagateway/policy/quota/QuotaLimiter.java
@@ -178,6 +178,15 @@
     accounts.applySettings(backendLoad.meanServiceMs());
   }
 
+  /**
+   * Shares the hard limits with the other processes of this gateway. What has been refilled so far
+   * was by the number before.
+   */
+  public void changeProcesses(int processes) {
+    accounts.advance(backendLoad.meanServiceMs());
+    context.changeProcesses(processes);
+  }
+
   private QuotaDecision acquireWithLocalPermit(QuotaReservation reservation) {
     if (concurrencyLimiter.tryAcquireLocally(reservation.account)) {
       return acquireUnits(reservation);
--- a/src/main/java/quotagateway/server/GatewayComponents.java
+++ b/src/main/java/quotagateway/server/GatewayComponents.java
@@ -4,7 +4,6 @@
 import java.util.concurrent.TimeUnit;
 import quotagateway.client.ClientServer;
 import quotagateway.config.GatewayConfig;
-import quotagateway.config.ResourceLimits;
 import quotagateway.counter.CounterClient;
 import quotagateway.discovery.DiscoveryClient;
 import quotagateway.discovery.EndpointUpdate;
@@ -21,7 +20,7 @@
 record GatewayComponents(
     PolicyDriver driver, ClientServer clients, CounterClient counter, DiscoveryClient discovery) {
 
-  /** Interval between checks for a second process, with which this one shares its descriptors. */
+  /** Interval between checks for a second process, with which this one shares its limits. */
   private static final long OTHER_PROCESS_CHECK_INTERVAL_MS = 500;
 
   /**
@@ -37,14 +36,14 @@
       Lifecycle lifecycle,
       UpgradeCoordinator startedProcesses) {
     ConnectionBudget budget = new ConnectionBudget(config.limits().maxConnections());
+    Dialer backendDialer = Dialer.sockets(loop, config.connectTimeoutMs());
+    RequestPath path =
+        RequestPath.create(config, config.seed(), loop, clock, backendDialer, budget, lifecycle);
     loop.scheduleWithFixedDelay(
-        () -> shareDescriptors(budget, config.limits(), startedProcesses),
+        new UpgradeSharing(budget, config.limits(), startedProcesses, path.driver()),
         0,
         OTHER_PROCESS_CHECK_INTERVAL_MS,
         TimeUnit.MILLISECONDS);
-    Dialer backendDialer = Dialer.sockets(loop, config.connectTimeoutMs());
-    RequestPath path =
-        RequestPath.create(config, config.seed(), loop, clock, backendDialer, budget, lifecycle);
     CounterClient counter =
         new CounterClient(
             loop,
@@ -68,12 +67,4 @@
     discovery.start();
     return new GatewayComponents(path.driver(), path.clients(), counter, discovery);
   }
-
-  /** Leaves half of the descriptors to a second process of this gateway while one runs. */
-  private static void shareDescriptors(
-      ConnectionBudget budget, ResourceLimits limits, UpgradeCoordinator startedProcesses) {
-    int sharedLimit =
-        startedProcesses.isOtherProcessPresent() ? limits.maxConnectionsDuringUpgrade() : 0;
-    budget.shareWithOtherProcess(sharedLimit);
-  }
 }
--- a/src/test/java/quotagateway/policy/GatewayPolicyTest.java
+++ b/src/test/java/quotagateway/policy/GatewayPolicyTest.java
@@ -24,6 +24,7 @@
 import quotagateway.policy.event.CounterReplied;
 import quotagateway.policy.event.EndpointsUpdated;
 import quotagateway.policy.event.Event;
+import quotagateway.policy.event.ProcessCountChanged;
 import quotagateway.policy.event.RequestBodyComplete;
 import quotagateway.policy.event.RequestReceived;
 import quotagateway.policy.event.ResponseStarted;
@@ -553,6 +554,7 @@
             new ClientDisconnected("r"),
             new EndpointsUpdated(EndpointListForm.DELTA, List.of()),
             new TimerFired(Timer.REQUEST_CHECK),
+            new ProcessCountChanged(2),
             new SettingsChanged(PolicyFixture.settings(true, 2, false)));
     Set<Class<?>> handledTypes = new HashSet<>();
     for (Event event : events) {
--- a/src/test/java/quotagateway/policy/quota/HardLimitTest.java
+++ b/src/test/java/quotagateway/policy/quota/HardLimitTest.java
@@ -32,6 +32,22 @@
     assertFalse(limit.tryAcquire(1, false));
   }
 
+  /**
+   * During an upgrade the old and the new process each had the whole part of their gateway, so that
+   * a customer could spend its hard limit twice.
+   */
+  @Test
+  void twoProcessesOfOneGatewayShareItsPart() {
+    HardLimit limit = full(1);
+    fixture.context.changeProcesses(2);
+    limit.refill(0);
+    assertTrue(limit.tryAcquire(10.5, false), "half of 21");
+    assertFalse(limit.tryAcquire(0.1, false));
+    limit.refill(1);
+    assertTrue(limit.tryAcquire(2, false), "half of 4 units per second");
+    assertFalse(limit.tryAcquire(0.1, false));
+  }
+
   @Test
   void splitsBucketEvenlyBetweenTwoGateways() {
     HardLimit limit = full(2);
