Answer small pipelined requests when memory is exhausted

With the memory of requests given out by others, a request behind an open one was read and dropped with the end of its connection.

Cause: only a connection without an open request had its next one read to be rejected.

Change: so has a client that holds no more than 16 KiB.

Evidence: HeldMemoryTest#smallPipelinedRequestIsAnsweredWhenMemoryIsExhausted failed without it and passes with it.

--- a/src/main/java/quotagateway/client/ConnectionMemory.java
+++ b/src/main/java/quotagateway/client/ConnectionMemory.java
@@ -20,6 +20,9 @@
   /** Further memory of a request that has been accepted: its state, timers and attempts. */
   static final int ACCEPTED_REQUEST_BYTES = 5 * 1024;
 
+  /** Most memory of a client whose further requests are read when memory is exhausted. */
+  private static final int SMALL_BYTES = 16 * 1024;
+
   private final PeerMemory memory;
   private int decodingBytes;
   private int requestBytes;
@@ -50,6 +53,11 @@
     memory.requests().adjust(change);
   }
 
+  /** Returns whether the client holds so little that its next request is read to be rejected. */
+  boolean isSmall() {
+    return heldBytes() <= SMALL_BYTES;
+  }
+
   /** Returns whether so little is held by all requests that one may hold more than it needs. */
   boolean mayReadAhead() {
     return memory.requests().isHalfFree();
--- a/src/main/java/quotagateway/client/RequestAssembler.java
+++ b/src/main/java/quotagateway/client/RequestAssembler.java
@@ -135,7 +135,7 @@
     if (beginsRequest) {
       receivingSinceMs = lastReadAtMs;
     }
-    boolean mayBeAnswered = beginsRequest && listener.isIdle();
+    boolean mayBeAnswered = beginsRequest && (listener.isIdle() || memory.isSmall());
     if (incompleteRequest == null && context.isMemoryExhausted() && !mayBeAnswered) {
       rejectInput();
       return false;
--- a/src/test/java/quotagateway/server/HeldMemoryTest.java
+++ b/src/test/java/quotagateway/server/HeldMemoryTest.java
@@ -325,6 +325,26 @@
     assertTrue(gateway.path.driver().isActive("other"), client.readAllOutbound());
   }
 
+  /**
+   * Others hold all the memory of requests. A request that was read behind an open one was dropped
+   * with the end of its connection, though its client holds little.
+   */
+  @Test
+  void smallPipelinedRequestIsAnsweredWhenMemoryIsExhausted() throws Exception {
+    restart(SMALL_LIMITS);
+    PausableChannel client = startRequests(1).get(0);
+    String head = TestRequests.post("half", "").replace("Length: 0", "Length: 60000");
+    for (int i = 0; i < 12; i++) {
+      EmbeddedGateway.send(gateway.connectClient(), head + "x".repeat(50_000));
+    }
+    EmbeddedGateway.send(client, TestRequests.get("second", 3000));
+    EmbeddedGateway.send(gateway.backends.get(0), "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+    gateway.advance(5);
+    String answers = client.readAllOutbound();
+    assertTrue(answers.startsWith("HTTP/1.1 200"), answers);
+    assertTrue(answers.contains("HTTP/1.1 503"), answers);
+  }
+
   /** A request whose response finds no memory in its time is answered all the same. */
   @Test
   void requestIsAnsweredInTimeWhenItsResponseFindsNoMemory() throws Exception {
--- a/src/test/java/quotagateway/server/StalledUploadTest.java
+++ b/src/test/java/quotagateway/server/StalledUploadTest.java
@@ -58,6 +58,15 @@
     }
   }
 
+  private void takeBodyAfterOneSecond() {
+    gateway.advance(1_000);
+    backend().resume();
+    while (sentBytes < BODY_BYTES) {
+      sendWhileRead();
+      backend().resume();
+    }
+  }
+
   /**
    * The backend hangs. No timeout ran before the last byte had been read, so the client got no
    * response while the backend hung. Rejected in the first half of its time, it can go elsewhere.
@@ -89,12 +98,7 @@
   /** The backend hung for a second and took the rest at once: that second is not given again. */
   @Test
   void timeForWhichTheBodyWaitedIsNotGivenAgain() {
-    gateway.advance(1_000);
-    backend().resume();
-    while (sentBytes < BODY_BYTES) {
-      sendWhileRead();
-      backend().resume();
-    }
+    takeBodyAfterOneSecond();
     assertTrue(gateway.path.driver().isActive("r1"));
     gateway.advance(TIMEOUT_MS - 1_000);
     assertTrue(client.readAllOutbound().startsWith("HTTP/1.1 502"), "no answer in time");
@@ -103,12 +107,7 @@
   /** A hang shorter than the limit costs the client nothing but the time. */
   @Test
   void uploadIsServedAfterAShortHang() {
-    gateway.advance(1_000);
-    backend().resume();
-    while (sentBytes < BODY_BYTES) {
-      sendWhileRead();
-      backend().resume();
-    }
+    takeBodyAfterOneSecond();
     EmbeddedGateway.send(backend(), "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
     assertTrue(client.readAllOutbound().startsWith("HTTP/1.1 200"));
     assertEquals(1, gateway.backends.size());
