Decide on a stalled response by the time left and by what another attempt could do

Callers saw 503 after 1.57 s while every backend still wrote its response. StalledResponseTimer gave up a response after 250 ms of silence, on each attempt alike, and asked neither what was left of the request's time nor whether another attempt could do better. A response whose first pieces were just under 250 ms old at the check was streamed instead, and a backend that never ended it held its client for 30 s.

The connection now only reports that a response has begun, has stalled, or goes on; the policy decides (AttemptMonitor, StalledResponsePolicy). A response is given up only if another attempt may follow and recent responses fit into the time left; not if stalls lately ended by themselves, if the backend serves others meanwhile, or if an attempt of the same request was given up before (but at a backend that never ends its responses). It happens at once only where ten times the wait is left, else at the last moment at which another attempt usually succeeds, and within the deduplication window. A response without a length is streamed early only if it has been arriving for a while, and at the deadline if it still arrives.

--- a/src/main/java/quotagateway/backend/Attempt.java
+++ b/src/main/java/quotagateway/backend/Attempt.java
@@ -71,7 +71,9 @@
     return timeoutMs;
   }
 
-  /** Returns the deadline, or infinity if the attempt has not started or its timeout is unknown. */
+  /**
+   * Returns the deadline, or infinity while the attempt has not started or its timeout is unknown.
+   */
   final double deadlineMs() {
     return deadlineMs;
   }
@@ -81,22 +83,28 @@
     return writeDeadlineMs;
   }
 
+  /** Sets the time by which the last byte of the request must be written. */
+  final void setWriteDeadline(double newWriteDeadlineMs) {
+    writeDeadlineMs = newWriteDeadlineMs;
+  }
+
   /**
-   * Sets both deadlines when the attempt starts.
-   *
-   * @param maxWriteMs the time until the last byte of the request must be written
+   * Sets the deadline and the timer that enforces it. The timer is cancelled when a streamed
+   * response starts or the attempt ends.
    */
-  final void setDeadlines(double nowMs, double maxWriteMs) {
-    deadlineMs = nowMs + timeoutMs;
-    writeDeadlineMs = nowMs + maxWriteMs;
+  final void setDeadline(double newDeadlineMs, Future<?> timer) {
+    deadlineMs = newDeadlineMs;
+    timeoutTimer = timer;
   }
 
   /**
-   * Sets the timer that enforces the timeout. It is cancelled when a streamed response starts or
-   * the attempt ends.
+   * Ends the attempt at its deadline, unless its response is arriving and can be streamed from now
+   * on.
    */
-  final void setTimeoutTimer(Future<?> timer) {
-    timeoutTimer = timer;
+  final void onTimeout() {
+    if (connection == null || !connection.streamArrivingResponse()) {
+      abandon(statusIfTimedOut());
+    }
   }
 
   /** Marks the request as being written to a connection. */
@@ -176,6 +184,11 @@
     return state == State.WRITING ? Status.WRITE_STALLED : statusIfCancelled();
   }
 
+  /** Returns the final status if the response has stalled and another attempt replaces it. */
+  public final Status statusIfResponseStalled() {
+    return isWritten() ? Status.RESPONSE_STALLED : statusIfTimedOut();
+  }
+
   /** Returns the final status for a cancellation. */
   public final Status statusIfCancelled() {
     return isWritten() ? Status.CANCELLED : statusIfTimedOut();
@@ -254,6 +267,14 @@
     return true;
   }
 
+  /**
+   * Called while a response that is not streamed is incomplete: when its first bytes have arrived,
+   * when it stalls, and when it goes on after a stall. May end the attempt.
+   *
+   * @param stalled whether no part of the response has arrived for a while
+   */
+  public void onResponseProgress(boolean stalled) {}
+
   /**
    * Called when streaming starts, for a response that is too large to buffer, or that announces no
    * length and is incomplete at a progress check.
--- a/src/main/java/quotagateway/backend/BackendConnection.java
+++ b/src/main/java/quotagateway/backend/BackendConnection.java
@@ -167,6 +167,11 @@
     }
   }
 
+  /** Streams the response if it is arriving and can be streamed; returns whether it is streamed. */
+  boolean streamArrivingResponse() {
+    return receiver.streamIfArriving();
+  }
+
   /** Resumes reading the response after a pause for back pressure from the client. */
   void resume() {
     receiver.resume();
--- a/src/main/java/quotagateway/backend/BackendConnectionPool.java
+++ b/src/main/java/quotagateway/backend/BackendConnectionPool.java
@@ -124,17 +124,16 @@
   }
 
   /**
-   * Abandons an attempt when its timeout expires.
+   * Sets the deadline of an attempt, at which it ends.
    *
    * @param timeoutMs infinite if the timeout is not known yet; no timer is started in that case
    */
   public void scheduleTimeout(Attempt attempt, double timeoutMs) {
     if (timeoutMs < Double.POSITIVE_INFINITY) {
-      attempt.setTimeoutTimer(
+      attempt.setDeadline(
+          clock.now() + timeoutMs,
           loop.schedule(
-              () -> attempt.abandon(attempt.statusIfTimedOut()),
-              Math.max(0, (long) (timeoutMs * 1000)),
-              TimeUnit.MICROSECONDS));
+              attempt::onTimeout, Math.max(0, (long) (timeoutMs * 1000)), TimeUnit.MICROSECONDS));
     }
   }
 
@@ -168,7 +167,7 @@
     if (!attempt.endUnlessWanted()) {
       return;
     }
-    attempt.setDeadlines(clock.now(), maxWriteMs);
+    attempt.setWriteDeadline(clock.now() + maxWriteMs);
     scheduleTimeout(attempt, attempt.timeoutMs());
     scheduleWriteTimeout(attempt, maxWriteMs);
     BackendConnection connection = backend.takeIdle(attempt, maxIdleMs);
--- a/src/main/java/quotagateway/backend/ResponseReceiver.java
+++ b/src/main/java/quotagateway/backend/ResponseReceiver.java
@@ -23,7 +23,7 @@
   /** Ends the attempt if there is no valid response. */
   interface Listener {
 
-    /** Called when the response is malformed, or stalls before it is complete. */
+    /** Called when the response is malformed, or has stalled for too long. */
     void responseMalformed();
   }
 
@@ -31,7 +31,7 @@
   private final Listener listener;
   private final PeerMemory memory;
   private final ReceivedResponse response;
-  private final StalledResponseTimer stallTimer;
+  private final ResponseProgressTimer progressTimer;
 
   /** The attempt that awaits a response, or null. */
   private Attempt attempt;
@@ -51,6 +51,12 @@
   /** Whether the memory for the rest of the response is missing. */
   private boolean awaitingMemory;
 
+  /** Whether the attempt has been told that its response has begun. */
+  private boolean beginReported;
+
+  /** Whether the attempt has been told that its response has stalled, and not of progress since. */
+  private boolean stallReported;
+
   /**
    * Creates a receiver for one connection.
    *
@@ -61,7 +67,7 @@
     this.listener = listener;
     this.memory = memory;
     response = new ReceivedResponse(channel.alloc(), memory.buffered());
-    stallTimer = new StalledResponseTimer(channel.eventLoop(), clock, this::checkProgress);
+    progressTimer = new ResponseProgressTimer(channel.eventLoop(), clock, this::checkProgress);
   }
 
   /** Starts to receive the response to an attempt. */
@@ -110,7 +116,9 @@
     attempt = null;
     awaitingMemory = false;
     response.clearKeepingMemory();
-    stallTimer.cancel();
+    progressTimer.cancel();
+    beginReported = false;
+    stallReported = false;
     response.resetInformationalCount();
     resume();
     return detached;
@@ -118,7 +126,7 @@
 
   private void clearResponse() {
     response.clear();
-    stallTimer.cancel();
+    progressTimer.cancel();
   }
 
   /**
@@ -289,7 +297,7 @@
         // The part that was buffered before the response was streamed has gone to the client.
         response.releaseBody();
       }
-      stallTimer.recordProgress();
+      progressTimer.recordProgress();
       channel.config().setAutoRead(true);
     }
   }
@@ -302,33 +310,76 @@
    */
   void watchProgress(boolean hasUndecodedBytes) {
     if (response.hasHead() || hasUndecodedBytes) {
-      stallTimer.recordProgress();
-      stallTimer.ensureScheduled();
+      recordProgress();
+      progressTimer.ensureScheduled();
     }
     if (response.hasHead()) {
       secureMemory();
     }
   }
 
-  private void checkProgress() {
-    if (!paused && mayBeGivenUp() && stallTimer.isStalled(attempt.hasResponseStarted())) {
-      listener.responseMalformed();
-      return;
+  private void recordProgress() {
+    if (beginReported) {
+      progressTimer.recordProgress();
+    } else {
+      progressTimer.recordBegin();
+    }
+    if (!attempt.hasResponseStarted()) {
+      reportProgress();
     }
-    if (mayBeIntentionallySlow()) {
+  }
+
+  private void reportProgress() {
+    if (!beginReported || stallReported) {
+      beginReported = true;
+      stallReported = false;
+      attempt.onResponseProgress(false);
+    }
+  }
+
+  private void checkProgress() {
+    if (attempt.hasResponseStarted()) {
+      endStreamIfGone();
+    } else if (!paused && progressTimer.isStalled()) {
+      onStall();
+    } else if (progressTimer.isArriving() && mayBeIntentionallySlow()) {
       startStreaming();
     }
     if (attempt != null) {
-      stallTimer.ensureScheduled();
+      progressTimer.ensureScheduled();
+    }
+  }
+
+  private void endStreamIfGone() {
+    if (!paused && progressTimer.isStreamGone()) {
+      listener.responseMalformed();
+    }
+  }
+
+  /**
+   * Reports a stall, on which the policy decides. A response that no other attempt can replace is
+   * streamed.
+   */
+  private void onStall() {
+    if (!stallReported) {
+      stallReported = true;
+      attempt.onResponseProgress(true);
+    }
+    if (attempt != null && attempt.isNonIdempotent() && mayBeIntentionallySlow()) {
+      startStreaming();
     }
   }
 
   /**
-   * Returns whether the response may be given up for lack of progress. Not before it is streamed if
-   * no other attempt could replace it; the attempt's timeout then limits the wait.
+   * Streams a response that is arriving at its attempt's deadline, so that its client gets the
+   * first bytes in time. Returns whether it is streamed.
    */
-  private boolean mayBeGivenUp() {
-    return attempt.hasResponseStarted() || !attempt.isNonIdempotent();
+  boolean streamIfArriving() {
+    return attempt != null
+        && !paused
+        && !progressTimer.isStalled()
+        && mayBeIntentionallySlow()
+        && tryStream();
   }
 
   /**
--- a/src/main/java/quotagateway/driver/ActionExecutor.java
+++ b/src/main/java/quotagateway/driver/ActionExecutor.java
@@ -7,6 +7,7 @@
 import quotagateway.counter.CounterClient;
 import quotagateway.policy.action.Action;
 import quotagateway.policy.action.CancelAttempt;
+import quotagateway.policy.action.CancelReason;
 import quotagateway.policy.action.FailRequest;
 import quotagateway.policy.action.IncrementCounter;
 import quotagateway.policy.action.RejectRequest;
@@ -79,7 +80,10 @@
       ActiveRequest request = requests.get(action.requestId());
       Attempt attempt = request == null ? null : request.attempt(action.attempt());
       if (attempt != null) {
-        attempt.abandon(attempt.statusIfCancelled());
+        attempt.abandon(
+            action.reason() == CancelReason.RESPONSE_STALLED
+                ? attempt.statusIfResponseStalled()
+                : attempt.statusIfCancelled());
       }
     }
 
--- a/src/main/java/quotagateway/driver/AttemptStarter.java
+++ b/src/main/java/quotagateway/driver/AttemptStarter.java
@@ -9,6 +9,7 @@
 import quotagateway.policy.action.StartAttempt;
 import quotagateway.policy.event.AttemptEnded;
 import quotagateway.policy.event.Event;
+import quotagateway.policy.event.ResponseProgress;
 import quotagateway.policy.event.ResponseStarted;
 import quotagateway.policy.event.Status;
 import quotagateway.transport.MonotonicClock;
@@ -121,6 +122,11 @@
       return true;
     }
 
+    @Override
+    public void onResponseProgress(boolean stalled) {
+      events.accept(new ResponseProgress(request.id(), number, stalled));
+    }
+
     @Override
     public boolean onResponseContent(HttpContent content) {
       return request.listener.onResponseContent(content);
--- /dev/null
+++ b/src/main/java/quotagateway/policy/AttemptMonitor.java
@@ -0,0 +1,86 @@
+package quotagateway.policy;
+
+import quotagateway.policy.action.CancelAttempt;
+import quotagateway.policy.action.CancelReason;
+import quotagateway.policy.context.DecisionContext;
+import quotagateway.policy.event.AttemptEnded;
+import quotagateway.policy.event.Status;
+import quotagateway.policy.retry.AttemptTimeout;
+import quotagateway.policy.retry.RecentResponses;
+import quotagateway.policy.retry.RetryBudget;
+import quotagateway.policy.retry.RetryPolicy;
+import quotagateway.policy.retry.StallEvidence;
+import quotagateway.policy.retry.StalledResponsePolicy;
+import quotagateway.policy.routing.AttemptRecord;
+import quotagateway.policy.routing.BackendRouter;
+
+/**
+ * Watches the attempts in flight, and cancels one that looks lost or whose response has stalled if
+ * another attempt is likely to do better. Owned by the policy's thread; times are in milliseconds.
+ */
+final class AttemptMonitor {
+
+  private final DecisionContext context;
+  private final BackendRouter router;
+  private final RecentResponses recentResponses = new RecentResponses();
+  private final AttemptTimeout attemptTimeout;
+  private final StalledResponsePolicy stalledResponsePolicy;
+
+  AttemptMonitor(
+      DecisionContext context, BackendRouter router, RetryPolicy retryPolicy, RetryBudget budget) {
+    this.context = context;
+    this.router = router;
+    attemptTimeout = new AttemptTimeout(budget);
+    stalledResponsePolicy = new StalledResponsePolicy(context, retryPolicy, recentResponses);
+  }
+
+  /** Records the outcome of an attempt. */
+  void recordOutcome(AttemptEnded event) {
+    if (event.status() == Status.OK) {
+      recentResponses.record(context.nowMs(), event.latencyMs());
+    }
+  }
+
+  /**
+   * Cancels the attempt in flight of a request if it has waited for too long.
+   *
+   * @param nextCheckAtMs when the request is checked again
+   */
+  void check(OpenRequest request, double nextCheckAtMs) {
+    AttemptRecord attempt = request.currentAttempt;
+    if (attempt.isStalled()) {
+      if (mayGiveUpStalled(request, attempt, nextCheckAtMs)) {
+        cancel(request, CancelReason.RESPONSE_STALLED);
+      }
+    } else if (looksLost(request, attempt) && attemptTimeout.mayCancel(request.attempts)) {
+      cancel(request, CancelReason.NO_RESPONSE);
+    }
+  }
+
+  private boolean mayGiveUpStalled(
+      OpenRequest request, AttemptRecord attempt, double nextCheckAtMs) {
+    StallEvidence evidence =
+        new StallEvidence(
+            attempt.hasBackendWithUnresolvedStalls(),
+            attempt.isBackendResponsiveDuringStall(),
+            router.resumedStallShare());
+    return stalledResponsePolicy.mayGiveUp(
+        request.attempts,
+        attempt.sentAtMs(),
+        request.deadlineAtMs,
+        router.fleetServiceMs(),
+        nextCheckAtMs,
+        evidence);
+  }
+
+  private boolean looksLost(OpenRequest request, AttemptRecord attempt) {
+    double objectiveMs = request.latencyObjectiveMs();
+    double lossTimeoutMs = attemptTimeout.lossTimeoutMs(objectiveMs);
+    return attempt.looksLost(lossTimeoutMs, context.nowMs());
+  }
+
+  private void cancel(OpenRequest request, CancelReason reason) {
+    request.attempts.recordCancellation();
+    context.emit(new CancelAttempt(request.id, request.currentAttempt.number(), reason));
+  }
+}
--- a/src/main/java/quotagateway/policy/GatewayPolicy.java
+++ b/src/main/java/quotagateway/policy/GatewayPolicy.java
@@ -7,7 +7,6 @@
 import quotagateway.endpoint.EndpointIndex;
 import quotagateway.endpoint.ServingEndpoints;
 import quotagateway.policy.action.Action;
-import quotagateway.policy.action.CancelAttempt;
 import quotagateway.policy.action.ScheduleTimer;
 import quotagateway.policy.action.StartAttempt;
 import quotagateway.policy.action.Timer;
@@ -22,6 +21,7 @@
 import quotagateway.policy.event.ProcessCountChanged;
 import quotagateway.policy.event.RequestBodyComplete;
 import quotagateway.policy.event.RequestReceived;
+import quotagateway.policy.event.ResponseProgress;
 import quotagateway.policy.event.ResponseStarted;
 import quotagateway.policy.event.SettingsChanged;
 import quotagateway.policy.event.Status;
@@ -30,7 +30,6 @@
 import quotagateway.policy.quota.CounterReplyDecision;
 import quotagateway.policy.quota.QuotaDecision;
 import quotagateway.policy.quota.QuotaLimiter;
-import quotagateway.policy.retry.AttemptTimeout;
 import quotagateway.policy.retry.RetryBudget;
 import quotagateway.policy.retry.RetryPolicy;
 import quotagateway.policy.routing.AttemptRecord;
@@ -81,7 +80,7 @@
   private final QuotaLimiter quotaLimiter;
   private final BackendRouter router;
   private final RetryPolicy retryPolicy;
-  private final AttemptTimeout attemptTimeout;
+  private final AttemptMonitor attemptMonitor;
   private final WakeUpTimer wakeUpTimer = new WakeUpTimer();
   private final OpenRequests openRequests;
 
@@ -109,7 +108,7 @@
     quotaLimiter = new QuotaLimiter(context, new BackendLoadForQuota(), maxCustomers);
     RetryBudget retryBudget = new RetryBudget(settings.gatewayCount());
     retryPolicy = new RetryPolicy(context, retryBudget);
-    attemptTimeout = new AttemptTimeout(retryBudget);
+    attemptMonitor = new AttemptMonitor(context, router, retryPolicy, retryBudget);
     openRequests = new OpenRequests(context, quotaLimiter, retryPolicy);
   }
 
@@ -143,6 +142,8 @@
       onRequestBodyComplete(complete);
     } else if (event instanceof CounterReplied reply) {
       onCounterReplied(reply);
+    } else if (event instanceof ResponseProgress progress) {
+      onResponseProgress(progress);
     } else if (event instanceof ResponseStarted started) {
       onResponseStarted(started);
     } else if (event instanceof AttemptEnded ended) {
@@ -307,6 +308,13 @@
     }
   }
 
+  private void onResponseProgress(ResponseProgress event) {
+    OpenRequest request = requestsByAttempt.get(new AttemptKey(event.requestId(), event.attempt()));
+    if (request != null) {
+      router.responseProgress(request.currentAttempt, event.stalled());
+    }
+  }
+
   private void onAttemptEnded(AttemptEnded event) {
     OpenRequest request =
         requestsByAttempt.remove(new AttemptKey(event.requestId(), event.attempt()));
@@ -342,6 +350,7 @@
         wakeUpTimer.stalledMsSince(attempt.sentAtMs()),
         router.fleetServiceMs());
     router.attemptEnded(attempt, event, wakeUpTimer.stalledUntilMs());
+    attemptMonitor.recordOutcome(event);
     if (event.status() == Status.OK) {
       quotaLimiter.settle(request.reservation, event.chargedUnits());
     }
@@ -388,12 +397,12 @@
   }
 
   /**
-   * Cancels an attempt that looks lost, ends waits that exceed their limits, and otherwise tries
+   * Has the attempt in flight checked, ends waits that exceed their limits, and otherwise tries
    * again to forward a request that waits for a backend.
    */
   private void check(OpenRequest request) {
     if (request.currentAttempt != null) {
-      cancelIfLost(request);
+      attemptMonitor.check(request, context.nowMs() + CHECK_INTERVAL_MS);
     } else if (request.reservation.isAwaitingCounter()) {
       if (hasWaitedTooLong(request, MAX_COUNTER_WAIT_PER_OBJECTIVE)) {
         applyQuotaDecision(quotaLimiter.decideWithoutReply(request.reservation), request);
@@ -407,17 +416,6 @@
     }
   }
 
-  /** Cancels the request's attempt if it looks lost and cancellation is allowed. */
-  private void cancelIfLost(OpenRequest request) {
-    double lossTimeoutMs = attemptTimeout.lossTimeoutMs(request.latencyObjectiveMs());
-    AttemptRecord attempt = request.currentAttempt;
-    if (attempt.looksLost(lossTimeoutMs, context.nowMs())
-        && attemptTimeout.mayCancel(request.attempts)) {
-      request.attempts.recordCancellation();
-      context.emit(new CancelAttempt(request.id, attempt.number()));
-    }
-  }
-
   /** Whether a request's wait exceeds its limit, or the next check would be too late. */
   private boolean hasWaitedTooLong(OpenRequest request, double maxWaitPerObjective) {
     double waitedMs = context.nowMs() - request.receivedAtMs;
--- a/src/main/java/quotagateway/policy/event/Event.java
+++ b/src/main/java/quotagateway/policy/event/Event.java
@@ -9,6 +9,7 @@
         ProcessCountChanged,
         RequestBodyComplete,
         RequestReceived,
+        ResponseProgress,
         ResponseStarted,
         SettingsChanged,
         TimerFired {}
--- a/src/main/java/quotagateway/policy/event/Status.java
+++ b/src/main/java/quotagateway/policy/event/Status.java
@@ -23,6 +23,8 @@
    * have been executed. The backend is not considered at fault.
    */
   MALFORMED_RESPONSE,
+  /** The response began and then made no progress, so that another attempt replaces it. */
+  RESPONSE_STALLED,
   /** The gateway cancelled the attempt. */
   CANCELLED,
   /** The gateway wrote nothing, for a reason of its own. */
--- a/src/main/java/quotagateway/policy/retry/RequestAttempts.java
+++ b/src/main/java/quotagateway/policy/retry/RequestAttempts.java
@@ -84,7 +84,8 @@
             || status == Status.WRITE_INCOMPLETE
             || status == Status.WRITE_STALLED
             || status == Status.NOT_SENT
-            || status == Status.MALFORMED_RESPONSE;
+            || status == Status.MALFORMED_RESPONSE
+            || status == Status.RESPONSE_STALLED;
     boolean nothingSent = status == Status.CONNECT_FAILED || status == Status.NOT_SENT;
     bodyPartlySent |= forwardsBody && !nothingSent;
   }
--- a/src/main/java/quotagateway/policy/retry/RetryPolicy.java
+++ b/src/main/java/quotagateway/policy/retry/RetryPolicy.java
@@ -2,6 +2,7 @@
 
 import quotagateway.policy.context.DecisionContext;
 import quotagateway.policy.settings.DeduplicationScope;
+import quotagateway.policy.settings.Idempotency;
 
 /**
  * Decides which requests get another attempt, and whether a request that gets none may be rejected.
@@ -21,6 +22,9 @@
    */
   private static final double MIN_REMAINING_SERVICE_TIME_RATIO = 0.5;
 
+  /** Time that nearly all attempts need, as a multiple of the mean service time. */
+  private static final double USUAL_SERVICE_TIME_RATIO = 2;
+
   private final DecisionContext context;
   private final RetryBudget budget;
 
@@ -38,12 +42,54 @@
    * @param meanServiceMs mean service time of all backends
    */
   public boolean mayRetry(RequestAttempts attempts, double deadlineAtMs, double meanServiceMs) {
-    double remainingMs = deadlineAtMs - context.nowMs();
-    double neededMs = meanServiceMs * MIN_REMAINING_SERVICE_TIME_RATIO + RESPONSE_MARGIN_MS;
     return !attempts.isBodyPartlySent()
         && mayExecuteAgain(attempts)
         && (budget.hasToken() || attempts.isExemptFromBudget())
-        && remainingMs >= neededMs;
+        && hasTimeForRetry(deadlineAtMs, meanServiceMs);
+  }
+
+  private boolean hasTimeForRetry(double deadlineAtMs, double meanServiceMs) {
+    return remainingMs(deadlineAtMs) >= meanServiceMs * MIN_REMAINING_SERVICE_TIME_RATIO;
+  }
+
+  /**
+   * Returns whether another attempt could follow if the one in flight, which has reached its
+   * backend, were given up now.
+   *
+   * @param sentAtMs when the attempt in flight was sent
+   */
+  public boolean mayReplace(
+      RequestAttempts attempts, double sentAtMs, double deadlineAtMs, double meanServiceMs) {
+    return !attempts.hasResponseStarted()
+        && !attempts.forwardsBody()
+        && attempts.requestClass().idempotency() != Idempotency.NOT_IDEMPOTENT
+        && context.nowMs() < repeatableUntilMs(attempts, sentAtMs)
+        && attempts.startedCount() < maxAttempts(attempts)
+        && hasTimeForRetry(deadlineAtMs, meanServiceMs);
+  }
+
+  /**
+   * Returns until when the attempt in flight can be given up so that another attempt still has the
+   * time that it usually needs.
+   */
+  public double latestReplacementAtMs(
+      RequestAttempts attempts, double sentAtMs, double deadlineAtMs, double meanServiceMs) {
+    double neededMs = meanServiceMs * USUAL_SERVICE_TIME_RATIO + RESPONSE_MARGIN_MS;
+    return Math.min(deadlineAtMs - neededMs, repeatableUntilMs(attempts, sentAtMs));
+  }
+
+  /** Returns until when another attempt may start if the one in flight may have been executed. */
+  private static double repeatableUntilMs(RequestAttempts attempts, double sentAtMs) {
+    if (attempts.requestClass().idempotency() != Idempotency.IDEMPOTENT_WITH_KEY) {
+      return Double.POSITIVE_INFINITY;
+    }
+    double windowEndMs = sentAtMs + attempts.requestClass().deduplicationWindowMs();
+    return Math.min(windowEndMs, attempts.deduplicatedUntilMs()) - RESPONSE_MARGIN_MS;
+  }
+
+  private int maxAttempts(RequestAttempts attempts) {
+    return Math.min(
+        attempts.capabilities().maxAttempts(), context.settings().capabilities().maxAttempts());
   }
 
   /**
@@ -67,12 +113,9 @@
    * limits of both the settings at the request's arrival and the current settings.
    */
   public boolean mayStart(RequestAttempts attempts, double deadlineAtMs) {
-    int maxAttempts =
-        Math.min(
-            attempts.capabilities().maxAttempts(), context.settings().capabilities().maxAttempts());
     return remainingMs(deadlineAtMs) > 0
         && maxStartDelayMs(attempts) > 0
-        && attempts.startedCount() < maxAttempts;
+        && attempts.startedCount() < maxAttempts(attempts);
   }
 
   /**
--- a/src/main/java/quotagateway/policy/routing/AttemptRecord.java
+++ b/src/main/java/quotagateway/policy/routing/AttemptRecord.java
@@ -11,6 +11,8 @@
   private final BackendStatus backend;
   private double sentAtMs;
   private boolean reachedBackend;
+  private boolean responseBegun;
+  private double stalledSinceMs = Double.NaN;
 
   AttemptRecord(int number, BackendStatus backend, double sentAtMs) {
     this.number = number;
@@ -40,6 +42,34 @@
     return reachedBackend;
   }
 
+  /** Returns whether a part of the response has arrived. */
+  public boolean hasResponseBegun() {
+    return responseBegun;
+  }
+
+  /** Returns whether the response has begun and makes no progress. */
+  public boolean isStalled() {
+    return !Double.isNaN(stalledSinceMs);
+  }
+
+  /** Returns whether the backend has completed another response since this one stalled. */
+  public boolean isBackendResponsiveDuringStall() {
+    return backend.lastResponseAtMs > stalledSinceMs;
+  }
+
+  /**
+   * Returns whether the latest responses of the backend that stalled never ended, and it has
+   * completed none since.
+   */
+  public boolean hasBackendWithUnresolvedStalls() {
+    return backend.unresolvedStalls > 0;
+  }
+
+  void recordProgress(boolean stalled, double nowMs) {
+    responseBegun = true;
+    stalledSinceMs = stalled ? nowMs : Double.NaN;
+  }
+
   /** Restarts the attempt's time, because the last byte of the request has arrived. */
   void markBodyComplete(double nowMs) {
     sentAtMs = nowMs;
@@ -50,9 +80,9 @@
   }
 
   /**
-   * Returns whether the attempt looks lost. It does if it has waited longer than the timeout and
-   * its backend either has not responded since the attempt was sent, or has already answered an
-   * attempt that was sent more than the timeout later.
+   * Returns whether the attempt looks lost. It does if no response has begun, it has waited longer
+   * than the timeout and its backend either has not responded since the attempt was sent, or has
+   * already answered an attempt that was sent more than the timeout later.
    *
    * @param lossTimeoutMs time after which a wait is unusual
    * @param nowMs the current time
@@ -60,6 +90,6 @@
   public boolean looksLost(double lossTimeoutMs, double nowMs) {
     boolean overtaken = backend.latestAnsweredSentAtMs > sentAtMs + lossTimeoutMs;
     boolean silent = backend.lastResponseAtMs <= sentAtMs;
-    return (overtaken || silent) && nowMs - sentAtMs > lossTimeoutMs;
+    return !responseBegun && (overtaken || silent) && nowMs - sentAtMs > lossTimeoutMs;
   }
 }
--- a/src/main/java/quotagateway/policy/routing/BackendRouter.java
+++ b/src/main/java/quotagateway/policy/routing/BackendRouter.java
@@ -22,6 +22,7 @@
   private final EndpointTracker tracker;
   private final RestartDetector restarts;
   private final EndpointSelector selector;
+  private final ResponseStalls stalls;
 
   /**
    * Creates a router without endpoints.
@@ -40,6 +41,7 @@
     tracker =
         new EndpointTracker(context, index, new GroupReachabilities(context), slowStart, outliers);
     restarts = new RestartDetector(context, tracker, slowStart);
+    stalls = new ResponseStalls(context);
     selector = new EndpointSelector(context, index, tracker, load, outliers, slowStart);
   }
 
@@ -125,6 +127,19 @@
     backend.recordResponse(attempt, context.nowMs());
   }
 
+  /** Records that a response has begun, stalls, or goes on after a stall. */
+  public void responseProgress(AttemptRecord attempt, boolean stalled) {
+    stalls.recordProgress(attempt, stalled);
+  }
+
+  /**
+   * Returns the share of the recent stalls of responses that ended by themselves, from 0 to 1; NaN
+   * if there was none.
+   */
+  public double resumedStallShare() {
+    return stalls.resumedShare();
+  }
+
   /**
    * Records the outcome of an attempt.
    *
@@ -145,7 +160,9 @@
     if (status == Status.OK || failed) {
       outliers.recordSample(backend, failed, observationWeight);
     }
-    recordReachability(attempt, responded, failed);
+    stalls.recordAttemptEnd(attempt, status);
+    boolean reached = responded || attempt.hasResponseBegun();
+    recordReachability(attempt, reached, failed && !attempt.hasResponseBegun());
     if (status == Status.OK) {
       restarts.recordSuccess(backend, attempt);
       outliers.closeCircuitBreaker(backend);
--- a/src/main/java/quotagateway/policy/routing/BackendStatus.java
+++ b/src/main/java/quotagateway/policy/routing/BackendStatus.java
@@ -46,6 +46,9 @@
   boolean halfOpen;
   double ejectedUntilMs = Double.NEGATIVE_INFINITY;
 
+  /** ResponseStalls: responses that stalled and never ended since the latest success. */
+  int unresolvedStalls;
+
   /** OutlierDetector: the end of the pause after a rejected request. */
   double pausedUntilMs = Double.NEGATIVE_INFINITY;
 
--- a/src/main/java/quotagateway/policy/routing/OutlierDetector.java
+++ b/src/main/java/quotagateway/policy/routing/OutlierDetector.java
@@ -60,7 +60,7 @@
       BackendStatus backend, AttemptRecord attempt, Status status, double stalledUntilMs) {
     return switch (status) {
       case ERROR, RESET, CONNECT_FAILED -> true;
-      case TIMED_OUT, CANCELLED, WRITE_STALLED ->
+      case TIMED_OUT, CANCELLED, WRITE_STALLED, RESPONSE_STALLED ->
           backend.lastResponseAtMs <= attempt.sentAtMs() && attempt.sentAtMs() > stalledUntilMs;
       default -> false;
     };
