End a small streamed response that stalls past its deadline

A response that is streamed is free of its attempt's timeout, also when it turns out to be small: then it is timed to its end, and one that stalled came up to 30 s late.

400 ms after the deadline a streamed response without a length ends if no more than 64 KiB of it have come and nothing for 250 ms. One that still arrives, or is large, goes on. The two new tests: smallStreamedResponseThatStallsPastItsDeadlineEndsInTime fails without the change; the one for large responses guards its limit.

--- a/src/main/java/quotagateway/backend/ResponseReceiver.java
+++ b/src/main/java/quotagateway/backend/ResponseReceiver.java
@@ -8,6 +8,8 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 import quotagateway.policy.event.Status;
 import quotagateway.transport.MonotonicClock;
 import quotagateway.transport.PeerMemory;
@@ -27,7 +29,14 @@
     void responseMalformed();
   }
 
+  /**
+   * Time after its deadline at which a streamed response ends if it has stalled and is still small
+   * enough to be buffered: a small response has to be complete within half a second.
+   */
+  private static final double MAX_LATE_MS = 400;
+
   private final Channel channel;
+  private final MonotonicClock clock;
   private final Listener listener;
   private final PeerMemory memory;
   private final ReceivedResponse response;
@@ -36,6 +45,12 @@
   /** The attempt that awaits a response, or null. */
   private Attempt attempt;
 
+  /** Bytes of the body that have been streamed. */
+  private long streamedBytes;
+
+  /** Null unless the response is streamed and its length is unknown. */
+  private Future<?> lateEndTimer;
+
   /** Whether the connection has failed, so that its close does not mark the end of a response. */
   private boolean connectionFailed;
 
@@ -64,6 +79,7 @@
    */
   ResponseReceiver(Channel channel, MonotonicClock clock, PeerMemory memory, Listener listener) {
     this.channel = channel;
+    this.clock = clock;
     this.listener = listener;
     this.memory = memory;
     response = new ReceivedResponse(channel.alloc(), memory.buffered());
@@ -117,6 +133,7 @@
     awaitingMemory = false;
     response.clearKeepingMemory();
     progressTimer.cancel();
+    cancelLateEndTimer();
     beginReported = false;
     stallReported = false;
     response.resetInformationalCount();
@@ -230,6 +247,7 @@
       attempt.abandon(Status.CANCELLED);
       return;
     }
+    scheduleLateEnd();
     ByteBuf bufferedBody = response.body();
     if (bufferedBody.isReadable()) {
       stream(new DefaultHttpContent(bufferedBody));
@@ -277,7 +295,31 @@
     }
   }
 
+  private void scheduleLateEnd() {
+    streamedBytes = 0;
+    if (!HttpUtil.isContentLengthSet(response.head())) {
+      double delayMs = attempt.deadlineMs() + MAX_LATE_MS - clock.now();
+      lateEndTimer =
+          channel.eventLoop().schedule(this::endIfLate, (long) delayMs, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void endIfLate() {
+    boolean small = streamedBytes <= ReceivedResponse.MAX_BUFFERED_BYTES;
+    if (small && !paused && progressTimer.isStalled()) {
+      listener.responseMalformed();
+    }
+  }
+
+  private void cancelLateEndTimer() {
+    if (lateEndTimer != null) {
+      lateEndTimer.cancel(false);
+      lateEndTimer = null;
+    }
+  }
+
   private void stream(HttpContent content) {
+    streamedBytes += content.content().readableBytes();
     boolean moreWanted = attempt.onResponseContent(content);
     if (!moreWanted && attempt != null && !(content instanceof LastHttpContent)) {
       pause();
--- a/src/test/java/quotagateway/backend/StalledResponseTest.java
+++ b/src/test/java/quotagateway/backend/StalledResponseTest.java
@@ -254,4 +254,33 @@
     assertEquals("", streamed.toString());
     assertEquals(List.of("BEGUN", "STALLED"), progress);
   }
+
+  /**
+   * A small response has to be complete in half a second after the deadline. One that was streamed
+   * had no limit but that of 30 s without progress.
+   */
+  @Test
+  void smallStreamedResponseThatStallsPastItsDeadlineEndsInTime() {
+    startAttempt();
+    receive("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    advance(MAX_STALL_MS - 1);
+    receive("1\r\nx\r\n");
+    advance(TIMEOUT_MS - MAX_STALL_MS);
+    assertEquals(List.of(), results);
+    advance(500);
+    assertEquals("x", streamed.toString());
+    assertEquals(List.of("RESET"), results);
+  }
+
+  /** Of a large one only the first bytes have to come in time, so what still arrives is awaited. */
+  @Test
+  void largeStreamedResponseThatStallsPastItsDeadlineIsAwaited() {
+    startAttempt();
+    receive("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+    receive("11170\r\n" + "x".repeat(70_000) + "\r\n");
+    advance(TIMEOUT_MS + 5_000);
+    receive("1\r\nx\r\n0\r\n\r\n");
+    assertEquals(70_001, streamed.length());
+    assertEquals(List.of("OK"), results);
+  }
 }
