Do not cancel an attempt as lost if all recent responses took as long

The loss timeout (0.65 of the latency objective, once a request) took slowness for loss wherever all backends are slow: the second attempt then had less time than the first. The attempt is now kept if there are responses of the last 3 s and none was faster than the loss timeout. An attempt whose response has begun never counts as lost; a stall decides. Test: anotherAttemptDoesNoBetterIfAllRecentResponsesTookAsLong.

--- a/src/main/java/quotagateway/policy/AttemptMonitor.java
+++ b/src/main/java/quotagateway/policy/AttemptMonitor.java
@@ -30,7 +30,7 @@
       DecisionContext context, BackendRouter router, RetryPolicy retryPolicy, RetryBudget budget) {
     this.context = context;
     this.router = router;
-    attemptTimeout = new AttemptTimeout(budget);
+    attemptTimeout = new AttemptTimeout(budget, recentResponses);
     stalledResponsePolicy = new StalledResponsePolicy(context, retryPolicy, recentResponses);
   }
 
@@ -76,7 +76,8 @@
   private boolean looksLost(OpenRequest request, AttemptRecord attempt) {
     double objectiveMs = request.latencyObjectiveMs();
     double lossTimeoutMs = attemptTimeout.lossTimeoutMs(objectiveMs);
-    return attempt.looksLost(lossTimeoutMs, context.nowMs());
+    return attempt.looksLost(lossTimeoutMs, context.nowMs())
+        && attemptTimeout.mayAnotherDoBetter(attempt.sentAtMs(), objectiveMs);
   }
 
   private void cancel(OpenRequest request, CancelReason reason) {
--- a/src/main/java/quotagateway/policy/retry/AttemptTimeout.java
+++ b/src/main/java/quotagateway/policy/retry/AttemptTimeout.java
@@ -18,11 +18,16 @@
    */
   private static final double LOSS_TIMEOUT_OBJECTIVE_RATIO = 0.65;
 
+  /** Age up to which responses show how fast other backends are. */
+  private static final double RECENT_RESPONSE_MS = 3_000;
+
   private final RetryBudget budget;
+  private final RecentResponses recentResponses;
 
   /** Creates a timeout whose cancellations are limited by a retry budget. */
-  public AttemptTimeout(RetryBudget budget) {
+  public AttemptTimeout(RetryBudget budget, RecentResponses recentResponses) {
     this.budget = budget;
+    this.recentResponses = recentResponses;
   }
 
   /** Returns the time after which an attempt may be treated as lost. */
@@ -30,6 +35,18 @@
     return latencyObjectiveMs * LOSS_TIMEOUT_OBJECTIVE_RATIO;
   }
 
+  /**
+   * Returns whether another attempt could be answered before it would look lost itself. Not if all
+   * recent responses took longer: then this attempt is as slow as any other.
+   *
+   * @param sentAtMs when the attempt was sent
+   */
+  public boolean mayAnotherDoBetter(double sentAtMs, double latencyObjectiveMs) {
+    double sinceMs = sentAtMs - RECENT_RESPONSE_MS;
+    return recentResponses.hasWithin(lossTimeoutMs(latencyObjectiveMs), sinceMs)
+        || !recentResponses.hasAnySince(sinceMs);
+  }
+
   /**
    * Returns whether an attempt of a request may be cancelled. This is allowed once per request, if
    * no part of the response has been sent to the client, the body can be sent again and a retry is
--- a/src/test/java/quotagateway/policy/retry/AttemptTimeoutTest.java
+++ b/src/test/java/quotagateway/policy/retry/AttemptTimeoutTest.java
@@ -28,7 +28,8 @@
           ALLOWED.pollsDiscovery());
 
   private final RetryBudget budget = new RetryBudget(1);
-  private final AttemptTimeout timeout = new AttemptTimeout(budget);
+  private final RecentResponses recentResponses = new RecentResponses();
+  private final AttemptTimeout timeout = new AttemptTimeout(budget, recentResponses);
 
   private static RequestAttempts attempts(
       Idempotency idempotency, Capabilities capabilities, boolean forwardsBody) {
@@ -43,6 +44,17 @@
     assertEquals(650, timeout.lossTimeoutMs(1_000));
   }
 
+  // A cancelled attempt was replaced by one that needed the same time, of which less was left.
+  @Test
+  void anotherAttemptDoesNoBetterIfAllRecentResponsesTookAsLong() {
+    assertTrue(timeout.mayAnotherDoBetter(1_000, 1_000), "nothing is known");
+    recentResponses.record(1_200, 651);
+    assertFalse(timeout.mayAnotherDoBetter(1_000, 1_000));
+    assertTrue(timeout.mayAnotherDoBetter(1_000 + 3_201, 1_000), "the response is too old");
+    recentResponses.record(1_300, 650);
+    assertTrue(timeout.mayAnotherDoBetter(1_000, 1_000));
+  }
+
   // A slow request looks like a lost one. If it were cancelled repeatedly, it would never complete.
   @Test
   void cancelsOncePerRequest() {
