Do not stream a response that stalls behind its head

Where a backend sent its head, then read its request slowly and answered at the end, a request that must not run twice got its answer seconds late: the head was streamed 250 ms after it had come, and from then on no timeout ran but that of 30 s. Without the early head no rate, size or framing showed late answers (20 to 4,000 KB/s, 60 KB to 30 MB, steady and held up, by length and chunked).

The effect of a request no longer decides whether its response is streamed. What has arrived of a body is passed on once it has been withheld for 1.5 s; a head alone is not, and its request gets its final answer at the deadline. Test: headAloneIsNotStreamed (POST failed before).

--- a/src/main/java/quotagateway/backend/ResponseProgressTimer.java
+++ b/src/main/java/quotagateway/backend/ResponseProgressTimer.java
@@ -14,6 +14,9 @@
   /** Longest time between checks. A response of which nothing arrives for as long has stalled. */
   private static final long CHECK_INTERVAL_MS = 250;
 
+  /** Time without progress after which the part that has arrived is passed on. */
+  private static final double MAX_WITHHELD_MS = 1_500;
+
   /**
    * Maximum time without progress of a streamed response. It is longer than backends hang, because
    * the client already has part of the response, so that no other attempt can replace it.
@@ -83,6 +86,11 @@
     return !isStalled() && progressAtMs - begunAtMs >= CHECK_INTERVAL_MS / 2.0;
   }
 
+  /** Returns whether the part that has arrived has been withheld for long enough. */
+  boolean isWithheldTooLong() {
+    return silenceMs() >= MAX_WITHHELD_MS;
+  }
+
   /** Returns whether a streamed response has made no progress for too long to be awaited. */
   boolean isStreamGone() {
     return silenceMs() >= MAX_STREAMED_STALL_MS;
--- a/src/main/java/quotagateway/backend/ResponseReceiver.java
+++ b/src/main/java/quotagateway/backend/ResponseReceiver.java
@@ -399,15 +399,16 @@
   }
 
   /**
-   * Reports a stall, on which the policy decides. A response that no other attempt can replace is
-   * streamed.
+   * Reports a stall, on which the policy decides. A body that has begun is not withheld for long; a
+   * head alone is, because nothing but the end of the connection could follow it in time if the
+   * body does not come.
    */
   private void onStall() {
     if (!stallReported) {
       stallReported = true;
       attempt.onResponseProgress(true);
     }
-    if (attempt != null && attempt.isNonIdempotent() && mayBeIntentionallySlow()) {
+    if (attempt != null && progressTimer.isWithheldTooLong() && hasBodyToStream()) {
       startStreaming();
     }
   }
@@ -424,6 +425,10 @@
         && tryStream();
   }
 
+  private boolean hasBodyToStream() {
+    return mayBeIntentionallySlow() && response.body().isReadable();
+  }
+
   /**
    * Returns whether the response may be sent slowly on purpose, so that the client awaits its first
    * bytes. That is possible only if the response does not announce its length.
