Log every close, retry, rejection and given-up wait with its reason

The logs of the incident held one line a process, so no question of the diagnosis could be answered from them. Rejections and failures carry the reason of the policy's decision, attempts their status, state and backend, closes a reason of their own.

A line has the time in milliseconds in front (it took two lines).

--- a/src/main/java/quotagateway/Main.java
+++ b/src/main/java/quotagateway/Main.java
@@ -11,6 +11,10 @@
  */
 public final class Main {
 
+  /** Property of the format of log lines: time, level and message on one line. */
+  private static final String LOG_FORMAT_PROPERTY = "java.util.logging.SimpleFormatter.format";
+
+  private static final String LOG_FORMAT = "%1$tFT%1$tT.%1$tL%1$tz %4$s %5$s%6$s%n";
   private static final int EXIT_FAILURE = 1;
   private static final int EXIT_USAGE = 2;
 
@@ -32,6 +36,7 @@
   }
 
   private static void serve() throws InterruptedException {
+    System.setProperty(LOG_FORMAT_PROPERTY, LOG_FORMAT);
     try {
       ServeCommand.run(System.getenv());
     } catch (IOException | InvalidConfigurationException | RuntimeException e) {
--- a/src/main/java/quotagateway/backend/Attempt.java
+++ b/src/main/java/quotagateway/backend/Attempt.java
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.Future;
+import java.net.InetSocketAddress;
 import quotagateway.policy.event.Status;
 import quotagateway.transport.ProtocolHeaders;
 
@@ -37,6 +38,8 @@
   private double deadlineMs = Double.POSITIVE_INFINITY;
   private double writeDeadlineMs = Double.POSITIVE_INFINITY;
 
+  private InetSocketAddress backendAddress;
+
   /** Null, like the writer, until the attempt has a connection. */
   private BackendConnection connection;
 
@@ -107,6 +110,15 @@
     }
   }
 
+  final void setBackendAddress(InetSocketAddress address) {
+    backendAddress = address;
+  }
+
+  /** Returns the address of the backend, or null if it was not known at the attempt's start. */
+  public final InetSocketAddress backendAddress() {
+    return backendAddress;
+  }
+
   /** Marks the request as being written to a connection. */
   final void attachTo(BackendConnection newConnection, RequestWriter newWriter) {
     connection = newConnection;
@@ -135,6 +147,11 @@
         && !head.headers().contains(ProtocolHeaders.IDEMPOTENCY_KEY);
   }
 
+  /** Returns the progress of the attempt, for the log. */
+  public final String progress() {
+    return responseStarted ? "STREAMING" : state.name();
+  }
+
   /** Returns whether the attempt has its final status. */
   public final boolean hasEnded() {
     return ended;
--- a/src/main/java/quotagateway/backend/BackendConnection.java
+++ b/src/main/java/quotagateway/backend/BackendConnection.java
@@ -8,8 +8,10 @@
 import io.netty.handler.codec.http.HttpUtil;
 import java.net.InetSocketAddress;
 import quotagateway.policy.event.Status;
+import quotagateway.transport.EventLog;
 import quotagateway.transport.KernelSockets;
 import quotagateway.transport.KernelSockets.UnreadInput;
+import quotagateway.transport.LogEvent;
 import quotagateway.transport.MonotonicClock;
 import quotagateway.transport.PeerMemory;
 
@@ -204,6 +206,11 @@
   }
 
   private void handleUnsolicitedData() {
+    EventLog.current()
+        .line(LogEvent.CONNECTION_CLOSED, "UNSOLICITED_DATA")
+        .with("peer", address)
+        .withMs("idle_ms", clock.now() - idleSinceMs)
+        .write();
     owner.unsolicitedDataReceived();
     channel.close();
   }
--- a/src/main/java/quotagateway/backend/BackendConnectionPool.java
+++ b/src/main/java/quotagateway/backend/BackendConnectionPool.java
@@ -164,6 +164,7 @@
       attempt.end(Status.NOT_SENT, null);
       return;
     }
+    attempt.setBackendAddress(backend.address());
     if (!attempt.endUnlessWanted()) {
       return;
     }
--- a/src/main/java/quotagateway/client/ClientConnection.java
+++ b/src/main/java/quotagateway/client/ClientConnection.java
@@ -141,6 +141,11 @@
     return exchange != null && exchange.isOpen();
   }
 
+  @Override
+  public String latestRequestId() {
+    return exchange == null ? "" : exchange.requestId();
+  }
+
   @Override
   public boolean hasStartedExchange() {
     return exchange != null;
@@ -301,7 +306,7 @@
   void onStreamEnded(boolean complete, boolean keepAlive) {
     timeouts.restartIdleTime();
     if (!complete) {
-      closer.reset();
+      closer.reset(CloseReason.STREAM_INCOMPLETE);
     } else if (keepAlive && !(assembler.hasPipelineOverflowed() && queue.isEmpty())) {
       scheduleNextRequest();
     } else {
--- a/src/main/java/quotagateway/client/ClientConnections.java
+++ b/src/main/java/quotagateway/client/ClientConnections.java
@@ -55,7 +55,7 @@
       evictLongestIdle();
     }
     if (budget.clientConnections() > max + max / EXCESS_DIVISOR) {
-      connection.closer().closeIfIdle();
+      connection.closer().closeIfIdle(CloseReason.MAKE_ROOM);
     }
     return budget.clientConnections() > max;
   }
--- a/src/main/java/quotagateway/client/ConnectionCloser.java
+++ b/src/main/java/quotagateway/client/ConnectionCloser.java
@@ -6,7 +6,9 @@
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import java.util.concurrent.TimeUnit;
+import quotagateway.transport.EventLog;
 import quotagateway.transport.KernelSockets;
+import quotagateway.transport.LogEvent;
 
 /**
  * Closes one connection: immediately, after its last response, or with a reset, such that the
@@ -45,6 +47,9 @@
 
     /** Drops the requests that wait for their turn or are being received. */
     void discardRequests();
+
+    /** Returns the identifier of the latest request; empty if there was none. */
+    String latestRequestId();
   }
 
   private final Channel channel;
@@ -75,7 +80,8 @@
   /**
    * Closes the connection regardless of its requests; the channel's inactive event then cleans up.
    */
-  void closeImmediately() {
+  void closeImmediately(CloseReason reason) {
+    log(reason.name());
     channel.close();
   }
 
@@ -87,8 +93,9 @@
    * <p>A response is pending until its last byte has gone to the socket. Closing the channel
    * earlier would drop the rest of it.
    */
-  void closeIfIdle() {
+  void closeIfIdle(CloseReason reason) {
     if (!requests.hasPendingResponse() && !closing) {
+      log(reason.name());
       closing = true;
       channel.close();
     }
@@ -103,7 +110,7 @@
     if (!requests.hasPendingResponse() && !closing && assembler.isReceivingRequest()) {
       rejectAndClose("too many connections");
     } else {
-      closeIfIdle();
+      closeIfIdle(CloseReason.MAKE_ROOM);
     }
   }
 
@@ -112,6 +119,7 @@
    * without lingering. To be called while no request is open.
    */
   void rejectAndClose(String reason) {
+    log(reason);
     closing = true;
     requests.discardRequests();
     writer
@@ -128,7 +136,7 @@
     if (requests.isIdle() && assembler.isReceivingRequest()) {
       closeWithError(HttpResponseStatus.SERVICE_UNAVAILABLE, "this gateway is shutting down");
     } else {
-      closeIfIdle();
+      closeIfIdle(CloseReason.SHUTDOWN);
     }
   }
 
@@ -146,6 +154,7 @@
    *     or part of another request
    */
   void closeAfter(ChannelFuture writeFuture, boolean clientStillSending) {
+    log(CloseReason.LAST_RESPONSE.name());
     closing = true;
     requests.discardRequests();
     if (clientStillSending) {
@@ -163,6 +172,7 @@
     if (closing) {
       return;
     }
+    log(reason);
     closing = true;
     requests.discardRequests();
     linger(writer.writeFinalError(status, reason));
@@ -172,12 +182,34 @@
    * Resets the connection to cut off a streamed response that cannot be completed. No framing of a
    * response ends with a reset, so the client cannot mistake the part for the complete response.
    */
-  void reset() {
+  void reset(CloseReason reason) {
+    log(reason.name());
     closing = true;
     requests.discardRequests();
     KernelSockets.reset(channel);
   }
 
+  private void log(String reason) {
+    EventLog.current()
+        .line(LogEvent.CONNECTION_CLOSED, reason)
+        .with("peer", channel.remoteAddress())
+        .with("request", requests.latestRequestId())
+        .with("state", state())
+        .withMs("receiving_ms", context.now() - assembler.receivingSinceMs())
+        .withMs("last_read_ms", context.now() - assembler.lastReadAtMs())
+        .write();
+  }
+
+  private String state() {
+    if (!requests.isIdle()) {
+      return "REQUEST_OPEN";
+    }
+    if (requests.hasPendingResponse()) {
+      return "RESPONSE_PENDING";
+    }
+    return assembler.isReceivingRequest() ? "RECEIVING" : "IDLE";
+  }
+
   /**
    * Ends sending after the last response and continues to read (lingering close). Without this, the
    * response could be lost: closing a connection that has unread bytes resets it, and the reset
--- a/src/main/java/quotagateway/client/ConnectionTimeouts.java
+++ b/src/main/java/quotagateway/client/ConnectionTimeouts.java
@@ -100,7 +100,7 @@
    */
   void closeIfOverdue(double nowMs) {
     if (writer.isStalledTooLong(nowMs)) {
-      closer.reset();
+      closer.reset(CloseReason.RESPONSE_NOT_READ);
       return;
     }
     if (closer.isClosing()) {
@@ -115,7 +115,7 @@
         closer.closeWithError(HttpResponseStatus.REQUEST_TIMEOUT, "request is not whole in time");
       }
     } else if (isIdleTooLong(nowMs)) {
-      closer.closeIfIdle();
+      closer.closeIfIdle(context.isDrainNoticed() ? CloseReason.SHUTDOWN : CloseReason.IDLE);
     }
   }
 
--- a/src/main/java/quotagateway/client/Exchange.java
+++ b/src/main/java/quotagateway/client/Exchange.java
@@ -13,7 +13,10 @@
 import quotagateway.backend.Attempt;
 import quotagateway.driver.ResponseListener;
 import quotagateway.policy.event.RequestReceived;
+import quotagateway.transport.EventLog;
+import quotagateway.transport.LogEvent;
 import quotagateway.transport.PeerMemory;
+import quotagateway.transport.ProtocolHeaders;
 
 /**
  * One request and its single final response. The exchange either responds by itself or passes the
@@ -115,9 +118,13 @@
             .closeWithError(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body is too large");
       } else if (request.head().uri().equals(READINESS_PATH)) {
         respond(ResponseWriter.empty(readiness()));
-      } else if (overBudget || context.isShutDown() || context.isMemoryExhausted()) {
-        keepAlive &= !overBudget;
-        respond(ResponseWriter.rejection(0));
+      } else if (overBudget) {
+        keepAlive = false;
+        reject("OVER_CONNECTION_BUDGET");
+      } else if (context.isShutDown()) {
+        reject("SHUTTING_DOWN");
+      } else if (context.isMemoryExhausted()) {
+        reject("MEMORY_EXHAUSTED");
       } else {
         forward();
       }
@@ -131,6 +138,28 @@
     }
   }
 
+  private void reject(String reason) {
+    logRejection(reason);
+    respond(ResponseWriter.rejection(0));
+  }
+
+  private void logRejection(String reason) {
+    EventLog.current()
+        .line(LogEvent.REQUEST_REJECTED, reason)
+        .with("request", requestId())
+        .with("bytes", request.receivedBodyBytes())
+        .write();
+  }
+
+  /** Returns the request's identifier; empty if it states none. */
+  String requestId() {
+    if (requestId != null) {
+      return requestId;
+    }
+    String header = request.head().headers().get(ProtocolHeaders.REQUEST_ID);
+    return header == null ? "" : header;
+  }
+
   private HttpResponseStatus readiness() {
     if (!request.head().method().equals(HttpMethod.GET)) {
       return HttpResponseStatus.METHOD_NOT_ALLOWED;
@@ -144,12 +173,13 @@
       received = context.read(request.head(), request.lastByteAtMs());
     } catch (InvalidRequestException e) {
       keepAlive &= e.isConnectionReusable();
+      logRejection(e.getMessage());
       respond(ResponseWriter.text(e.status(), e.getMessage()));
       return;
     }
     boolean complete = request.body().isComplete();
     if (!complete && !reserveStreamMemory()) {
-      respond(ResponseWriter.rejection(0));
+      reject("NO_STREAM_MEMORY");
       return;
     }
     HttpRequest forwardedHead = ForwardedHead.of(request);
@@ -186,7 +216,7 @@
       end();
       respond(ResponseWriter.empty(HttpResponseStatus.INTERNAL_SERVER_ERROR));
     } else {
-      connection.closer().closeImmediately();
+      connection.closer().closeImmediately(CloseReason.INTERNAL_ERROR);
     }
   }
 
--- a/src/main/java/quotagateway/client/OverloadManager.java
+++ b/src/main/java/quotagateway/client/OverloadManager.java
@@ -72,7 +72,7 @@
   /** Resets a connection; a request with an attempt in flight is freed with the attempt's end. */
   private static int reset(ClientConnection connection) {
     int heldBytes = connection.memory().heldBytes();
-    connection.closer().reset();
+    connection.closer().reset(CloseReason.OUT_OF_MEMORY);
     return heldBytes;
   }
 }
--- a/src/main/java/quotagateway/driver/ActionExecutor.java
+++ b/src/main/java/quotagateway/driver/ActionExecutor.java
@@ -10,12 +10,15 @@
 import quotagateway.policy.action.CancelReason;
 import quotagateway.policy.action.FailRequest;
 import quotagateway.policy.action.IncrementCounter;
+import quotagateway.policy.action.RejectReason;
 import quotagateway.policy.action.RejectRequest;
 import quotagateway.policy.action.ScheduleTimer;
 import quotagateway.policy.action.StartAttempt;
 import quotagateway.policy.action.WatchEndpoints;
 import quotagateway.policy.event.Event;
 import quotagateway.policy.event.TimerFired;
+import quotagateway.transport.EventLog;
+import quotagateway.transport.LogEvent;
 import quotagateway.transport.MonotonicClock;
 
 /**
@@ -91,6 +94,9 @@
     public void onRejectRequest(RejectRequest action) {
       ActiveRequest request = requests.get(action.requestId());
       if (request != null && request.finish()) {
+        log(LogEvent.REQUEST_REJECTED, request, action.reason())
+            .withMs("retry_after_ms", action.retryAfterMs())
+            .write();
         request.listener.onRejected(action.retryAfterMs());
         requests.removeIfComplete(request);
       }
@@ -100,11 +106,16 @@
     public void onFailRequest(FailRequest action) {
       ActiveRequest request = requests.get(action.requestId());
       if (request != null && request.finish()) {
+        log(LogEvent.REQUEST_FAILED, request, action.reason()).write();
         request.listener.onFailed();
         requests.removeIfComplete(request);
       }
     }
 
+    private EventLog.Line log(LogEvent event, ActiveRequest request, RejectReason reason) {
+      return request.logLine(event, reason.name(), clock.now());
+    }
+
     @Override
     public void onIncrementCounter(IncrementCounter action) {
       counter.increment(action.counterName(), action.amount(), action.ttlMs());
--- a/src/main/java/quotagateway/driver/ActiveRequest.java
+++ b/src/main/java/quotagateway/driver/ActiveRequest.java
@@ -10,6 +10,9 @@
 import quotagateway.backend.Attempt;
 import quotagateway.backend.RequestBody;
 import quotagateway.policy.event.RequestReceived;
+import quotagateway.policy.event.Status;
+import quotagateway.transport.EventLog;
+import quotagateway.transport.LogEvent;
 
 /**
  * State of one request from its acceptance until its final response is decided and none of its
@@ -32,6 +35,11 @@
   private final List<Attempt> attempts = new ArrayList<>(1);
   private int attemptsInFlight;
 
+  private double acceptedAtMs;
+
+  /** How the latest attempt ended, or null if none has. */
+  private Status lastStatus;
+
   /** Infinite until the body is complete. */
   private double deadlineAtMs;
 
@@ -59,6 +67,23 @@
     deadlineAtMs = request.deadlineAtMs();
   }
 
+  void markAccepted(double nowMs) {
+    acceptedAtMs = nowMs;
+  }
+
+  /**
+   * Begins a log line with the request's state: how many attempts were started, how long it has
+   * been open and how much time is left.
+   */
+  EventLog.Line logLine(LogEvent event, String reason, double nowMs) {
+    return EventLog.current()
+        .line(event, reason)
+        .with("request", id())
+        .with("attempts", attempts.size())
+        .withMs("age_ms", nowMs - acceptedAtMs)
+        .withMs("left_ms", deadlineAtMs - nowMs);
+  }
+
   String id() {
     return request.requestId();
   }
@@ -131,13 +156,19 @@
     return attemptsInFlight > 0 ? attempts.get(attempts.size() - 1) : null;
   }
 
+  /** Returns how the latest attempt ended, or null if none has. */
+  Status lastStatus() {
+    return lastStatus;
+  }
+
   void onAttemptStarted(Attempt attempt) {
     attempts.add(attempt);
     attemptsInFlight++;
   }
 
-  void onAttemptEnded() {
+  void onAttemptEnded(Status status) {
     attemptsInFlight--;
+    lastStatus = status;
   }
 
   /** Cancels all attempts that have not ended. */
--- a/src/main/java/quotagateway/driver/AttemptStarter.java
+++ b/src/main/java/quotagateway/driver/AttemptStarter.java
@@ -12,6 +12,7 @@
 import quotagateway.policy.event.ResponseProgress;
 import quotagateway.policy.event.ResponseStarted;
 import quotagateway.policy.event.Status;
+import quotagateway.transport.LogEvent;
 import quotagateway.transport.MonotonicClock;
 import quotagateway.transport.ProtocolHeaders;
 
@@ -74,6 +75,9 @@
     Attempt attempt =
         new RequestAttempt(
             request, request.attemptCount(), action.endpointId(), startedAtMs, timeoutMs);
+    if (request.lastStatus() != null) {
+      request.logLine(LogEvent.ATTEMPT_RETRIED, request.lastStatus().name(), startedAtMs).write();
+    }
     request.onAttemptStarted(attempt);
     backends.start(action.endpointId(), attempt, action.maxStartDelayMs() - latenessMs);
   }
@@ -136,7 +140,8 @@
     public void onEnd(Status status, FullHttpResponse response) {
       double chargedUnits = response == null ? streamedChargedUnits : chargedUnits(response);
       double latencyMs = latencyMs();
-      request.onAttemptEnded();
+      request.onAttemptEnded(status);
+      logEnd(status);
       if (request.isStreaming()) {
         request.listener.onResponseEnd(status == Status.OK);
       } else if (response != null && request.finish()) {
@@ -155,6 +160,19 @@
       requests.removeIfComplete(request);
     }
 
+    private void logEnd(Status status) {
+      if (status != Status.OK) {
+        double nowMs = clock.now();
+        request
+            .logLine(LogEvent.ATTEMPT_ENDED, status.name(), nowMs)
+            .with("attempt", number)
+            .with("backend", backendAddress())
+            .with("state", progress())
+            .withMs("attempt_ms", nowMs - startedAtMs)
+            .write();
+      }
+    }
+
     /**
      * Returns the time to the response's start if it is streamed, else to the attempt's end. Counts
      * from the request's last byte or the attempt's start, whichever is later.
--- a/src/main/java/quotagateway/driver/PolicyDriver.java
+++ b/src/main/java/quotagateway/driver/PolicyDriver.java
@@ -26,6 +26,7 @@
 import quotagateway.policy.event.SettingsChanged;
 import quotagateway.policy.event.TimerFired;
 import quotagateway.policy.settings.PolicySettings;
+import quotagateway.transport.LogEvent;
 import quotagateway.transport.MonotonicClock;
 import quotagateway.transport.PeriodicTask;
 
@@ -108,6 +109,7 @@
   public void accept(
       RequestReceived received, HttpRequest head, RequestBody body, ResponseListener listener) {
     ActiveRequest request = new ActiveRequest(received, head, body, listener);
+    request.markAccepted(clock.now());
     requests.add(request);
     if (body.isComplete()) {
       startDeadlineTimer(request, received.deadlineAtMs());
@@ -144,6 +146,7 @@
     }
     // Abandoning the attempt has usually made the policy reject the request.
     if (request.finish()) {
+      log(LogEvent.REQUEST_REJECTED, request, "BODY_STALLED");
       request.listener.onRejected(0);
       request.cancelUnwrittenAttempts();
       deliver(new ClientDisconnected(id));
@@ -151,8 +154,12 @@
     }
   }
 
+  private void log(LogEvent event, ActiveRequest request, String reason) {
+    request.logLine(event, reason, clock.now()).write();
+  }
+
   private void startDeadlineTimer(ActiveRequest request, double deadlineAtMs) {
-    request.startDeadlineTimer(loop, clock.now(), deadlineAtMs, () -> fail(request));
+    request.startDeadlineTimer(loop, clock.now(), deadlineAtMs, () -> fail(request, "DEADLINE"));
   }
 
   /** Handles the disconnection of a request's client. */
@@ -170,6 +177,12 @@
       // reported to the policy.
       request.cancelUnwrittenAttempts();
     }
+    if (wasUnfinished || request.isStreaming()) {
+      log(
+          LogEvent.CLIENT_DISCONNECTED,
+          request,
+          wasUnfinished ? "BEFORE_RESPONSE" : "DURING_RESPONSE");
+    }
     if (wasUnfinished) {
       deliver(new ClientDisconnected(id));
     }
@@ -202,11 +215,12 @@
 
   /** Fails all requests without a final response. Called shortly before the process ends. */
   public void failAll() {
-    PeriodicTask.forEachIsolated(requests.all(), this::fail);
+    PeriodicTask.forEachIsolated(requests.all(), request -> fail(request, "SHUTDOWN"));
   }
 
-  private void fail(ActiveRequest request) {
+  private void fail(ActiveRequest request, String reason) {
     if (request.finish()) {
+      log(LogEvent.REQUEST_FAILED, request, reason);
       request.listener.onFailed();
       request.cancelUnwrittenAttempts();
       deliver(new ClientDisconnected(request.id()));
@@ -275,7 +289,7 @@
   private void failIfActive(String id) {
     ActiveRequest request = requests.get(id);
     if (request != null) {
-      fail(request);
+      fail(request, "POLICY_FAILED");
     }
   }
 }
--- a/src/main/java/quotagateway/policy/GatewayPolicy.java
+++ b/src/main/java/quotagateway/policy/GatewayPolicy.java
@@ -7,6 +7,7 @@
 import quotagateway.endpoint.EndpointIndex;
 import quotagateway.endpoint.ServingEndpoints;
 import quotagateway.policy.action.Action;
+import quotagateway.policy.action.RejectReason;
 import quotagateway.policy.action.ScheduleTimer;
 import quotagateway.policy.action.StartAttempt;
 import quotagateway.policy.action.Timer;
@@ -26,7 +27,6 @@
 import quotagateway.policy.event.SettingsChanged;
 import quotagateway.policy.event.Status;
 import quotagateway.policy.event.TimerFired;
-import quotagateway.policy.quota.BackendLoad;
 import quotagateway.policy.quota.CounterReplyDecision;
 import quotagateway.policy.quota.QuotaDecision;
 import quotagateway.policy.quota.QuotaLimiter;
@@ -105,7 +105,8 @@
     context = new DecisionContext(settings, seed);
     loadShedder = new LoadShedder(context, () -> index.serving().size());
     router = new BackendRouter(context, index, loadShedder.attemptsInFlight());
-    quotaLimiter = new QuotaLimiter(context, new BackendLoadForQuota(), maxCustomers);
+    quotaLimiter =
+        new QuotaLimiter(context, new RoutedBackendLoad(router, loadShedder), maxCustomers);
     RetryBudget retryBudget = new RetryBudget(settings.gatewayCount());
     retryPolicy = new RetryPolicy(context, retryBudget);
     attemptMonitor = new AttemptMonitor(context, router, retryPolicy, retryBudget);
@@ -190,10 +191,12 @@
   }
 
   private void admit(OpenRequest request) {
-    if (openRequests.size() > context.settings().capabilities().maxOpenRequests()
-        || isLastCheck(request)
-        || loadShedder.isOverloaded(request.reservation.priorityWeight())) {
-      openRequests.reject(request, 0);
+    if (openRequests.size() > context.settings().capabilities().maxOpenRequests()) {
+      openRequests.reject(request, 0, RejectReason.TOO_MANY_OPEN_REQUESTS);
+    } else if (isLastCheck(request)) {
+      openRequests.reject(request, 0, RejectReason.NO_TIME_LEFT);
+    } else if (loadShedder.isOverloaded(request.reservation.priorityWeight())) {
+      openRequests.reject(request, 0, RejectReason.OVERLOADED);
     } else {
       applyQuotaDecision(quotaLimiter.acquire(request.reservation), request);
     }
@@ -219,24 +222,11 @@
       if (request.reservation.mayExceedQuota() && loadShedder.hasSpareCapacity()) {
         forward(request);
       } else {
-        openRequests.reject(request, overQuota.retryAfterMs());
+        openRequests.reject(request, overQuota.retryAfterMs(), RejectReason.OVER_QUOTA);
       }
     }
   }
 
-  /** Provides the backend load that quota decisions depend on. */
-  private final class BackendLoadForQuota implements BackendLoad {
-    @Override
-    public double meanServiceMs() {
-      return router.fleetServiceMs();
-    }
-
-    @Override
-    public boolean isOverloadedForUnconfirmed(double priorityWeight) {
-      return loadShedder.isOverloadedForUnconfirmed(priorityWeight);
-    }
-  }
-
   // ---- Attempts ----
 
   /** Starts an attempt, or waits for a usable backend if time remains for another check. */
@@ -246,13 +236,13 @@
     if (backend != null) {
       startAttempt(request, backend);
     } else if (!request.awaitingBackend) {
-      openRequests.rejectOrFail(request);
+      openRequests.rejectOrFail(request, RejectReason.NO_BACKEND);
     }
   }
 
   private void startAttempt(OpenRequest request, BackendStatus backend) {
     if (!retryPolicy.mayStart(request.attempts, request.deadlineAtMs)) {
-      openRequests.rejectOrFail(request);
+      openRequests.rejectOrFail(request, RejectReason.NO_TIME_LEFT);
       return;
     }
     int number = request.attempts.startedCount();
@@ -364,7 +354,7 @@
     if (retryPolicy.mayRetry(request.attempts, request.deadlineAtMs, router.fleetServiceMs())) {
       forward(request);
     } else {
-      openRequests.rejectOrFail(request);
+      openRequests.rejectOrFail(request, RejectReason.ATTEMPTS_FAILED);
     }
   }
 
@@ -409,7 +399,7 @@
       }
     } else if (request.awaitingBackend) {
       if (hasWaitedTooLong(request, MAX_BACKEND_WAIT_PER_OBJECTIVE)) {
-        openRequests.rejectOrFail(request);
+        openRequests.rejectOrFail(request, RejectReason.NO_BACKEND);
       } else {
         forward(request);
       }
--- a/src/main/java/quotagateway/policy/OpenRequests.java
+++ b/src/main/java/quotagateway/policy/OpenRequests.java
@@ -3,6 +3,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import quotagateway.policy.action.FailRequest;
+import quotagateway.policy.action.RejectReason;
 import quotagateway.policy.action.RejectRequest;
 import quotagateway.policy.context.DecisionContext;
 import quotagateway.policy.quota.QuotaLimiter;
@@ -64,12 +65,12 @@
   }
 
   /** Ends a request that gets no further attempt: rejects it if that is safe, else fails it. */
-  void rejectOrFail(OpenRequest request) {
+  void rejectOrFail(OpenRequest request, RejectReason reason) {
     if (retryPolicy.mayReject(request.attempts)) {
-      reject(request, 0);
+      reject(request, 0, reason);
     } else {
       finish(request);
-      context.emit(new FailRequest(request.id));
+      context.emit(new FailRequest(request.id, reason));
     }
   }
 
@@ -78,14 +79,14 @@
    *
    * @param retryAfterMs the delay after which the client is advised to retry; 0 gives no advice
    */
-  void reject(OpenRequest request, double retryAfterMs) {
+  void reject(OpenRequest request, double retryAfterMs, RejectReason reason) {
     refundUnlessAttempted(request);
     finish(request);
     double cappedRetryAfterMs = 0;
     if (request.capabilities.retryAfter()) {
       cappedRetryAfterMs = Math.min(retryAfterMs, request.capabilities.maxRetryAfterMs());
     }
-    context.emit(new RejectRequest(request.id, cappedRetryAfterMs));
+    context.emit(new RejectRequest(request.id, cappedRetryAfterMs, reason));
   }
 
   /**
--- a/src/main/java/quotagateway/policy/action/RejectRequest.java
+++ b/src/main/java/quotagateway/policy/action/RejectRequest.java
@@ -6,8 +6,10 @@
  *
  * @param requestId ID of the request
  * @param retryAfterMs delay after which the client is advised to retry; 0 gives no advice
+ * @param reason why it is rejected
  */
-public record RejectRequest(String requestId, double retryAfterMs) implements Action {
+public record RejectRequest(String requestId, double retryAfterMs, RejectReason reason)
+    implements Action {
 
   @Override
   public <E extends Exception> void handle(Handler<E> handler) throws E {
--- a/src/test/java/quotagateway/driver/ActiveRequestTest.java
+++ b/src/test/java/quotagateway/driver/ActiveRequestTest.java
@@ -121,7 +121,7 @@
     assertSame(first, request.attempt(0));
     assertNull(request.attempt(1));
     assertSame(first, request.lastAttemptInFlight());
-    request.onAttemptEnded();
+    request.onAttemptEnded(Status.OK);
     assertNull(request.lastAttemptInFlight());
     assertEquals(1, request.attemptCount());
   }
@@ -141,7 +141,7 @@
     request.finish();
     requests.removeIfComplete(request);
     assertTrue(requests.contains("r1"), "the attempt is in flight");
-    request.onAttemptEnded();
+    request.onAttemptEnded(Status.OK);
     requests.removeIfComplete(request);
     assertEquals(0, requests.size());
   }
