Reject a stalled upload early only where another backend would do better

A body of which its backend took nothing for 0.4 of the client's time was rejected, whatever was left: the same clock as for stalled responses. The check is now an event for the policy (RequestBodyStalled), which cancels the attempt unless the backend has answered others since, or others wait elsewhere as well and nothing has been answered. The bound 250 ms before the client's time is as it was.

--- a/src/main/java/quotagateway/client/ClientConnection.java
+++ b/src/main/java/quotagateway/client/ClientConnection.java
@@ -200,8 +200,13 @@
   }
 
   @Override
-  public void onBodyStalled() {
-    exchange.onBodyStalled();
+  public void onBodyStalled(double stalledMs) {
+    exchange.onBodyStalled(stalledMs);
+  }
+
+  @Override
+  public void onBodyTooLate() {
+    exchange.onBodyTooLate();
   }
 
   @Override
--- a/src/main/java/quotagateway/client/Exchange.java
+++ b/src/main/java/quotagateway/client/Exchange.java
@@ -202,10 +202,17 @@
     }
   }
 
+  /** Called while the backend takes nothing of the body. */
+  void onBodyStalled(double stalledMs) {
+    if (isOpen()) {
+      context.driver().onBodyStalled(requestId, stalledMs);
+    }
+  }
+
   /** Called when the body has waited for its backend for too long; rejects the request. */
-  void onBodyStalled() {
+  void onBodyTooLate() {
     if (isOpen()) {
-      context.driver().onBodyStalled(requestId);
+      context.driver().onBodyTooLate(requestId);
     }
   }
 
--- a/src/main/java/quotagateway/client/RequestAssembler.java
+++ b/src/main/java/quotagateway/client/RequestAssembler.java
@@ -49,8 +49,11 @@
     /** Called when the rest of the body that is being received cannot be received. */
     void onBodyFailed(HttpResponseStatus status, String reason);
 
+    /** Called at each check while the backend has taken nothing of the body for a while. */
+    void onBodyStalled(double stalledMs);
+
     /** Called when the rest of the body waits for its backend for too long. */
-    void onBodyStalled();
+    void onBodyTooLate();
 
     /** Called when nothing further can be read from this client. */
     void onInputRejected(HttpResponseStatus status, String reason);
@@ -311,8 +314,10 @@
     double pauseMs = channel.config().isAutoRead() ? 0 : nowMs - pausedAtMs;
     double maxMs = RequestLimits.maxBodyMs(request.receivedBodyBytes());
     if (request.isAccepted()
-        && RequestLimits.isBodyStalled(request.timeoutMs(), pauseMs, request.maxWaitMs(pauseMs))) {
-      listener.onBodyStalled();
+        && RequestLimits.isBodyTooLate(request.timeoutMs(), request.maxWaitMs(pauseMs))) {
+      listener.onBodyTooLate();
+    } else if (request.isAccepted() && RequestLimits.isBodyStalled(request.timeoutMs(), pauseMs)) {
+      listener.onBodyStalled(pauseMs);
     } else if (pauseMs == 0
         && nowMs - request.bodyStartedAtMs() > maxMs
         && nowMs - requestStartedAtMs > RequestLimits.MAX_HEAD_MS) {
--- a/src/main/java/quotagateway/client/RequestLimits.java
+++ b/src/main/java/quotagateway/client/RequestLimits.java
@@ -36,7 +36,7 @@
   static final long MAX_KERNEL_BYTES = 8L << 20;
 
   /**
-   * Share of its time after which a request is rejected whose backend takes none of its body. A
+   * Share of its time after which a request may be rejected whose backend takes none of its body. A
    * client that is rejected in the first half of its time can still be served elsewhere.
    */
   private static final double MAX_BODY_STALL_SHARE = 0.4;
@@ -50,16 +50,24 @@
   private RequestLimits() {}
 
   /**
-   * Returns whether a body waits for its backend for too long.
+   * Returns whether a body has stalled at its backend.
    *
    * @param timeoutMs the time for which the client waits for the response
    * @param pauseMs the time since the backend last took a part of the body
+   */
+  static boolean isBodyStalled(double timeoutMs, double pauseMs) {
+    return pauseMs > MAX_BODY_STALL_SHARE * timeoutMs;
+  }
+
+  /**
+   * Returns whether a body has waited for its backend for so long that no time is left.
+   *
+   * @param timeoutMs the time for which the client waits for the response
    * @param maxWaitMs the time for which the client may have been waiting since its last byte
    */
-  static boolean isBodyStalled(double timeoutMs, double pauseMs, double maxWaitMs) {
-    double maxPauseMs = MAX_BODY_STALL_SHARE * timeoutMs;
-    return pauseMs > maxPauseMs
-        || maxWaitMs > Math.max(maxPauseMs, timeoutMs - BODY_WAIT_MARGIN_MS);
+  static boolean isBodyTooLate(double timeoutMs, double maxWaitMs) {
+    double minWaitMs = MAX_BODY_STALL_SHARE * timeoutMs;
+    return maxWaitMs > Math.max(minWaitMs, timeoutMs - BODY_WAIT_MARGIN_MS);
   }
 
   /**
--- a/src/main/java/quotagateway/driver/ActionExecutor.java
+++ b/src/main/java/quotagateway/driver/ActionExecutor.java
@@ -16,6 +16,7 @@
 import quotagateway.policy.action.StartAttempt;
 import quotagateway.policy.action.WatchEndpoints;
 import quotagateway.policy.event.Event;
+import quotagateway.policy.event.Status;
 import quotagateway.policy.event.TimerFired;
 import quotagateway.transport.EventLog;
 import quotagateway.transport.LogEvent;
@@ -83,13 +84,18 @@
       ActiveRequest request = requests.get(action.requestId());
       Attempt attempt = request == null ? null : request.attempt(action.attempt());
       if (attempt != null) {
-        attempt.abandon(
-            action.reason() == CancelReason.RESPONSE_STALLED
-                ? attempt.statusIfResponseStalled()
-                : attempt.statusIfCancelled());
+        attempt.abandon(statusOf(attempt, action.reason()));
       }
     }
 
+    private Status statusOf(Attempt attempt, CancelReason reason) {
+      return switch (reason) {
+        case NO_RESPONSE -> attempt.statusIfCancelled();
+        case RESPONSE_STALLED -> attempt.statusIfResponseStalled();
+        case BODY_STALLED -> attempt.statusIfStalled();
+      };
+    }
+
     @Override
     public void onRejectRequest(RejectRequest action) {
       ActiveRequest request = requests.get(action.requestId());
--- a/src/main/java/quotagateway/driver/PolicyDriver.java
+++ b/src/main/java/quotagateway/driver/PolicyDriver.java
@@ -22,6 +22,7 @@
 import quotagateway.policy.event.Event;
 import quotagateway.policy.event.ProcessCountChanged;
 import quotagateway.policy.event.RequestBodyComplete;
+import quotagateway.policy.event.RequestBodyStalled;
 import quotagateway.policy.event.RequestReceived;
 import quotagateway.policy.event.SettingsChanged;
 import quotagateway.policy.event.TimerFired;
@@ -131,11 +132,27 @@
     deliver(new RequestBodyComplete(id, deadlineAtMs));
   }
 
+  /**
+   * Handles a body of which the backend has taken nothing for a while. The policy decides whether
+   * its attempt goes on.
+   */
+  public void onBodyStalled(String id, double stalledMs) {
+    ActiveRequest request = requests.get(id);
+    if (request == null || request.isFinished()) {
+      return;
+    }
+    if (request.lastAttemptInFlight() == null) {
+      onBodyTooLate(id);
+    } else {
+      deliver(new RequestBodyStalled(id, stalledMs));
+    }
+  }
+
   /**
    * Rejects a request whose body waits for its backend for so long that its client could not get a
    * response in time. No backend executes it, as none gets the last byte.
    */
-  public void onBodyStalled(String id) {
+  public void onBodyTooLate(String id) {
     ActiveRequest request = requests.get(id);
     if (request == null || request.isFinished()) {
       return;
--- a/src/main/java/quotagateway/policy/AttemptMonitor.java
+++ b/src/main/java/quotagateway/policy/AttemptMonitor.java
@@ -1,5 +1,6 @@
 package quotagateway.policy;
 
+import java.util.Collection;
 import quotagateway.policy.action.CancelAttempt;
 import quotagateway.policy.action.CancelReason;
 import quotagateway.policy.context.DecisionContext;
@@ -20,6 +21,9 @@
  */
 final class AttemptMonitor {
 
+  /** Share of a wait from which on another one is about as long. */
+  private static final double SIMILAR_WAIT_RATIO = 0.5;
+
   private final DecisionContext context;
   private final BackendRouter router;
   private final RecentResponses recentResponses = new RecentResponses();
@@ -57,6 +61,33 @@
     }
   }
 
+  /**
+   * Cancels the attempt in flight of a request whose body its backend does not take, so that the
+   * client can go elsewhere in time. Not if the backend answers others meanwhile, or if no other
+   * backend answers any more quickly.
+   *
+   * @param stalledMs time since the backend last took a part of the body
+   * @param others requests with an attempt in flight
+   */
+  void checkBody(OpenRequest request, double stalledMs, Collection<OpenRequest> others) {
+    AttemptRecord attempt = request.currentAttempt;
+    double stalledSinceMs = context.nowMs() - stalledMs;
+    boolean allAreSlow =
+        !recentResponses.hasAnySince(stalledSinceMs)
+            && others.stream().anyMatch(other -> waitsElsewhere(other, attempt, stalledMs));
+    if (!attempt.hasBackendRespondedSince(stalledSinceMs) && !allAreSlow) {
+      cancel(request, CancelReason.BODY_STALLED);
+    }
+  }
+
+  /** Returns whether a request waits for another backend for about as long. */
+  private boolean waitsElsewhere(OpenRequest other, AttemptRecord attempt, double stalledMs) {
+    AttemptRecord otherAttempt = other.currentAttempt;
+    return otherAttempt != null
+        && otherAttempt.backend() != attempt.backend()
+        && context.nowMs() - otherAttempt.sentAtMs() >= stalledMs * SIMILAR_WAIT_RATIO;
+  }
+
   private boolean mayGiveUpStalled(
       OpenRequest request, AttemptRecord attempt, double nextCheckAtMs) {
     StallEvidence evidence =
--- a/src/main/java/quotagateway/policy/GatewayPolicy.java
+++ b/src/main/java/quotagateway/policy/GatewayPolicy.java
@@ -21,6 +21,7 @@
 import quotagateway.policy.event.Event;
 import quotagateway.policy.event.ProcessCountChanged;
 import quotagateway.policy.event.RequestBodyComplete;
+import quotagateway.policy.event.RequestBodyStalled;
 import quotagateway.policy.event.RequestReceived;
 import quotagateway.policy.event.ResponseProgress;
 import quotagateway.policy.event.ResponseStarted;
@@ -141,6 +142,8 @@
       onRequestReceived(received);
     } else if (event instanceof RequestBodyComplete complete) {
       onRequestBodyComplete(complete);
+    } else if (event instanceof RequestBodyStalled stalled) {
+      onRequestBodyStalled(stalled);
     } else if (event instanceof CounterReplied reply) {
       onCounterReplied(reply);
     } else if (event instanceof ResponseProgress progress) {
@@ -280,6 +283,13 @@
     }
   }
 
+  private void onRequestBodyStalled(RequestBodyStalled event) {
+    OpenRequest request = openRequests.get(event.requestId());
+    if (request != null && request.currentAttempt != null) {
+      attemptMonitor.checkBody(request, event.stalledMs(), requestsByAttempt.values());
+    }
+  }
+
   private void recordAttemptInFlight(OpenRequest request) {
     quotaLimiter.recordAttemptStart(request.reservation);
     loadShedder.recordAttemptStart();
--- a/src/main/java/quotagateway/policy/event/Event.java
+++ b/src/main/java/quotagateway/policy/event/Event.java
@@ -8,6 +8,7 @@
         EndpointsUpdated,
         ProcessCountChanged,
         RequestBodyComplete,
+        RequestBodyStalled,
         RequestReceived,
         ResponseProgress,
         ResponseStarted,
--- a/src/main/java/quotagateway/policy/routing/AttemptRecord.java
+++ b/src/main/java/quotagateway/policy/routing/AttemptRecord.java
@@ -54,7 +54,12 @@
 
   /** Returns whether the backend has completed another response since this one stalled. */
   public boolean isBackendResponsiveDuringStall() {
-    return backend.lastResponseAtMs > stalledSinceMs;
+    return hasBackendRespondedSince(stalledSinceMs);
+  }
+
+  /** Returns whether the backend has completed a response since the given time. */
+  public boolean hasBackendRespondedSince(double sinceMs) {
+    return backend.lastResponseAtMs > sinceMs;
   }
 
   /**
--- a/src/test/java/quotagateway/policy/GatewayPolicyTest.java
+++ b/src/test/java/quotagateway/policy/GatewayPolicyTest.java
@@ -27,6 +27,7 @@
 import quotagateway.policy.event.Event;
 import quotagateway.policy.event.ProcessCountChanged;
 import quotagateway.policy.event.RequestBodyComplete;
+import quotagateway.policy.event.RequestBodyStalled;
 import quotagateway.policy.event.RequestReceived;
 import quotagateway.policy.event.ResponseProgress;
 import quotagateway.policy.event.ResponseStarted;
@@ -550,6 +551,7 @@
         List.of(
             new RequestReceived(
                 "r", PolicyFixture.requestClass("safe"), "free", 1, 2, 1, fixture.now + 4000),
+            new RequestBodyStalled("r", 10),
             new RequestBodyComplete("r", fixture.now + 4000),
             new CounterReplied("nothing", Status.OK, 5, 1),
             new ResponseProgress("r", 0, true),
