Hear a discovery agent that answers each watch after more than a second

A watch without an answer for 500 ms is replaced, and the one before it was closed then, so an agent that takes over a second for each answer was never heard: the same clock on every watch. Up to six replaced watches now stay open, each until a newer one receives data; new ones are opened as before. Tests: hearsAnAgentThatAnswersEachWatchAfterSeveral- Timeouts (failed before), numberOfSilentWatchesIsBounded.

--- a/src/main/java/quotagateway/discovery/DiscoveryClient.java
+++ b/src/main/java/quotagateway/discovery/DiscoveryClient.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.FixedRecvByteBufAllocator;
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -43,6 +44,12 @@
    */
   private static final int MAX_READ_BYTES = 4 * 1024;
 
+  /**
+   * Most replaced watches that stay open, so that an agent is heard that takes several response
+   * timeouts to answer each watch.
+   */
+  private static final int MAX_PREVIOUS_WATCHES = 6;
+
   private final EventLoop loop;
   private final MonotonicClock clock;
   private final EndpointUpdateDispatcher dispatcher;
@@ -59,10 +66,10 @@
   private DiscoveryWatch currentWatch;
 
   /**
-   * The replaced watch, which fell silent or whose address is no longer configured; null if there
-   * is none. Its messages are used until the current watch receives data.
+   * The replaced watches, which fell silent or whose address is no longer configured, the oldest
+   * first. The messages of each are used until a newer watch receives data.
    */
-  private DiscoveryWatch previousWatch;
+  private final ArrayDeque<DiscoveryWatch> previousWatches = new ArrayDeque<>();
 
   /**
    * Creates a client that is not started yet.
@@ -108,9 +115,7 @@
     currentWatch.connect();
   }
 
-  /**
-   * Starts a watch at another address. The old watch stays open until the new one receives data.
-   */
+  /** Starts a watch at another address. Old watches stay open until the new one receives data. */
   public void changeAddress(InetSocketAddress agent) {
     if (!agent.equals(currentWatch.agent())) {
       backoff.reset();
@@ -123,16 +128,17 @@
   }
 
   private void replaceCurrentWatch(InetSocketAddress agent) {
-    closePreviousWatch();
-    previousWatch = currentWatch;
+    if (previousWatches.size() >= MAX_PREVIOUS_WATCHES) {
+      previousWatches.removeFirst().close();
+    }
+    previousWatches.addLast(currentWatch);
     currentWatch = newWatch(agent);
     currentWatch.connect();
   }
 
-  private void closePreviousWatch() {
-    if (previousWatch != null) {
-      previousWatch.close();
-      previousWatch = null;
+  private void closeWatchesBefore(DiscoveryWatch watch) {
+    while (!previousWatches.isEmpty() && previousWatches.peekFirst() != watch) {
+      previousWatches.removeFirst().close();
     }
   }
 
@@ -158,13 +164,13 @@
 
     @Override
     public boolean isInUse(DiscoveryWatch watch) {
-      return watch == currentWatch || watch == previousWatch;
+      return watch == currentWatch || previousWatches.contains(watch);
     }
 
     @Override
     public void onData(DiscoveryWatch watch) {
-      if (watch == currentWatch) {
-        closePreviousWatch();
+      if (isInUse(watch)) {
+        closeWatchesBefore(watch);
       }
     }
 
--- a/src/test/java/quotagateway/discovery/DiscoveryClientTest.java
+++ b/src/test/java/quotagateway/discovery/DiscoveryClientTest.java
@@ -130,6 +130,28 @@
     assertFalse(watch(1).isActive());
   }
 
+  /** Each watch was closed before its answer came, so that no list ever arrived. */
+  @Test
+  void hearsAnAgentThatAnswersEachWatchAfterSeveralTimeouts() {
+    client.start();
+    advance(5 * (RESPONSE_TIMEOUT_MS + 2));
+    assertEquals(6, watches.size());
+    receive(watch(1), FakeDiscovery.RESPONSE_HEAD + message(8));
+    assertEquals(List.of(8L), versions());
+    receive(watch(3), FakeDiscovery.RESPONSE_HEAD + message(9));
+    assertEquals(List.of(8L, 9L), versions());
+    assertFalse(watch(1).isActive());
+    assertFalse(watch(2).isActive());
+    assertTrue(watch(4).isActive());
+  }
+
+  @Test
+  void numberOfSilentWatchesIsBounded() {
+    client.start();
+    advance(20 * (RESPONSE_TIMEOUT_MS + 2));
+    assertEquals(7, watches.stream().filter(EmbeddedChannel::isActive).count());
+  }
+
   /** An established watch of a machine that vanished stays open but silent. */
   @Test
   void replacesWatchWithoutDataOrHeartbeats() {
