Do not cancel a silent attempt while attempts at other backends wait as long

Where all backends are slow from the start, nothing is known of their speed, and the first attempts were cancelled as lost after 0.65 of the latency objective. They now go on while no response has come during the wait and another backend has been asked for about as long (the rule of stalled uploads). A single silent backend is left as before.

Test: silentAttemptIsAwaitedIfOtherBackendsAreAsSilent.

--- a/src/main/java/quotagateway/policy/AttemptMonitor.java
+++ b/src/main/java/quotagateway/policy/AttemptMonitor.java
@@ -26,13 +26,24 @@
 
   private final DecisionContext context;
   private final BackendRouter router;
+  private final Collection<OpenRequest> inFlight;
   private final RecentResponses recentResponses = new RecentResponses();
   private final AttemptTimeout attemptTimeout;
   private final StalledResponsePolicy stalledResponsePolicy;
 
+  /**
+   * Creates a monitor.
+   *
+   * @param inFlight a live view of the requests with an attempt in flight
+   */
   AttemptMonitor(
-      DecisionContext context, BackendRouter router, RetryPolicy retryPolicy, RetryBudget budget) {
+      DecisionContext context,
+      BackendRouter router,
+      RetryPolicy retryPolicy,
+      RetryBudget budget,
+      Collection<OpenRequest> inFlight) {
     this.context = context;
+    this.inFlight = inFlight;
     this.router = router;
     attemptTimeout = new AttemptTimeout(budget, recentResponses);
     stalledResponsePolicy = new StalledResponsePolicy(context, retryPolicy, recentResponses);
@@ -63,29 +74,34 @@
 
   /**
    * Cancels the attempt in flight of a request whose body its backend does not take, so that the
-   * client can go elsewhere in time. Not if the backend answers others meanwhile, or if no other
-   * backend answers any more quickly.
+   * client can go elsewhere in time. Not if the backend answers others meanwhile, or if other
+   * backends are as slow.
    *
    * @param stalledMs time since the backend last took a part of the body
-   * @param others requests with an attempt in flight
    */
-  void checkBody(OpenRequest request, double stalledMs, Collection<OpenRequest> others) {
+  void checkBody(OpenRequest request, double stalledMs) {
     AttemptRecord attempt = request.currentAttempt;
-    double stalledSinceMs = context.nowMs() - stalledMs;
-    boolean allAreSlow =
-        !recentResponses.hasAnySince(stalledSinceMs)
-            && others.stream().anyMatch(other -> waitsElsewhere(other, attempt, stalledMs));
-    if (!attempt.hasBackendRespondedSince(stalledSinceMs) && !allAreSlow) {
+    boolean backendResponds = attempt.hasBackendRespondedSince(context.nowMs() - stalledMs);
+    if (!backendResponds && !areOthersAsSlow(attempt, stalledMs)) {
       cancel(request, CancelReason.BODY_STALLED);
     }
   }
 
+  /**
+   * Returns whether no backend has responded during the wait of an attempt, although another one
+   * has been asked as well.
+   */
+  private boolean areOthersAsSlow(AttemptRecord attempt, double waitMs) {
+    return !recentResponses.hasAnySince(context.nowMs() - waitMs)
+        && inFlight.stream().anyMatch(other -> waitsElsewhere(other, attempt, waitMs));
+  }
+
   /** Returns whether a request waits for another backend for about as long. */
-  private boolean waitsElsewhere(OpenRequest other, AttemptRecord attempt, double stalledMs) {
+  private boolean waitsElsewhere(OpenRequest other, AttemptRecord attempt, double waitMs) {
     AttemptRecord otherAttempt = other.currentAttempt;
     return otherAttempt != null
         && otherAttempt.backend() != attempt.backend()
-        && context.nowMs() - otherAttempt.sentAtMs() >= stalledMs * SIMILAR_WAIT_RATIO;
+        && context.nowMs() - otherAttempt.sentAtMs() >= waitMs * SIMILAR_WAIT_RATIO;
   }
 
   private boolean mayGiveUpStalled(
@@ -108,7 +124,8 @@
     double objectiveMs = request.latencyObjectiveMs();
     double lossTimeoutMs = attemptTimeout.lossTimeoutMs(objectiveMs);
     return attempt.looksLost(lossTimeoutMs, context.nowMs())
-        && attemptTimeout.mayAnotherDoBetter(attempt.sentAtMs(), objectiveMs);
+        && attemptTimeout.mayAnotherDoBetter(attempt.sentAtMs(), objectiveMs)
+        && !areOthersAsSlow(attempt, context.nowMs() - attempt.sentAtMs());
   }
 
   private void cancel(OpenRequest request, CancelReason reason) {
--- a/src/main/java/quotagateway/policy/GatewayPolicy.java
+++ b/src/main/java/quotagateway/policy/GatewayPolicy.java
@@ -110,7 +110,8 @@
         new QuotaLimiter(context, new RoutedBackendLoad(router, loadShedder), maxCustomers);
     RetryBudget retryBudget = new RetryBudget(settings.gatewayCount());
     retryPolicy = new RetryPolicy(context, retryBudget);
-    attemptMonitor = new AttemptMonitor(context, router, retryPolicy, retryBudget);
+    attemptMonitor =
+        new AttemptMonitor(context, router, retryPolicy, retryBudget, requestsByAttempt.values());
     openRequests = new OpenRequests(context, quotaLimiter, retryPolicy);
   }
 
@@ -286,7 +287,7 @@
   private void onRequestBodyStalled(RequestBodyStalled event) {
     OpenRequest request = openRequests.get(event.requestId());
     if (request != null && request.currentAttempt != null) {
-      attemptMonitor.checkBody(request, event.stalledMs(), requestsByAttempt.values());
+      attemptMonitor.checkBody(request, event.stalledMs());
     }
   }
 
--- a/src/test/java/quotagateway/policy/AttemptMonitorTest.java
+++ b/src/test/java/quotagateway/policy/AttemptMonitorTest.java
@@ -77,6 +77,17 @@
     assertFalse(isUploadCancelled(upload));
   }
 
+  /** The second attempt of each had less time than the first, and failed where that sufficed. */
+  @Test
+  void silentAttemptIsAwaitedIfOtherBackendsAreAsSilent() {
+    request();
+    request();
+    fixture.runFor(1_500);
+    assertFalse(fixture.hasAction(CancelAttempt.class));
+    fixture.endAttempt(request(), 0, Status.OK, true).runFor(25);
+    assertTrue(fixture.hasAction(CancelAttempt.class), "another backend answers");
+  }
+
   /** A trickling response was cancelled as if nothing of it had come. */
   @Test
   void attemptWhoseResponseHasBegunIsNotCancelledAsLost() {
