--- a/src/main/java/quotagateway/policy/retry/AttemptTimeout.java
+++ b/src/main/java/quotagateway/policy/retry/AttemptTimeout.java
@@ -18,9 +18,6 @@
    */
   private static final double LOSS_TIMEOUT_OBJECTIVE_RATIO = 0.65;
 
-  /** Age up to which responses show how fast other backends are. */
-  private static final double RECENT_RESPONSE_MS = 3_000;
-
   private final RetryBudget budget;
   private final RecentResponses recentResponses;
 
@@ -42,9 +39,8 @@
    * @param sentAtMs when the attempt was sent
    */
   public boolean mayAnotherDoBetter(double sentAtMs, double latencyObjectiveMs) {
-    double sinceMs = sentAtMs - RECENT_RESPONSE_MS;
-    return recentResponses.hasWithin(lossTimeoutMs(latencyObjectiveMs), sinceMs)
-        || !recentResponses.hasAnySince(sinceMs);
+    return recentResponses.hasWithin(lossTimeoutMs(latencyObjectiveMs), sentAtMs)
+        || !recentResponses.hasAnyFor(sentAtMs);
   }
 
   /**
--- a/src/main/java/quotagateway/policy/retry/RecentResponses.java
+++ b/src/main/java/quotagateway/policy/retry/RecentResponses.java
@@ -9,6 +9,11 @@
   /** Enough for one response of most backends of a subset. */
   private static final int CAPACITY = 16;
 
+  /**
+   * Age, at the start of an attempt, up to which a response tells how long the attempt may take.
+   */
+  private static final double MAX_AGE_MS = 3_000;
+
   private final double[] receivedAtMs = new double[CAPACITY];
   private final double[] latencyMs = new double[CAPACITY];
   private int recorded;
@@ -23,11 +28,20 @@
 
   /** Returns whether any response was received since the given time. */
   public boolean hasAnySince(double sinceMs) {
-    return hasWithin(Double.POSITIVE_INFINITY, sinceMs);
+    return has(Double.POSITIVE_INFINITY, sinceMs);
+  }
+
+  /** Returns whether anything is known of the latency of an attempt that was sent then. */
+  boolean hasAnyFor(double sentAtMs) {
+    return hasAnySince(sentAtMs - MAX_AGE_MS);
+  }
+
+  /** Returns whether an attempt that was sent then may have at most the given latency. */
+  boolean hasWithin(double maxLatencyMs, double sentAtMs) {
+    return has(maxLatencyMs, sentAtMs - MAX_AGE_MS);
   }
 
-  /** Returns whether a response with at most the given latency was received since a time. */
-  public boolean hasWithin(double maxLatencyMs, double sinceMs) {
+  private boolean has(double maxLatencyMs, double sinceMs) {
     for (int i = 0; i < Math.min(recorded, CAPACITY); i++) {
       if (receivedAtMs[i] >= sinceMs && latencyMs[i] <= maxLatencyMs) {
         return true;
--- a/src/main/java/quotagateway/policy/retry/StalledResponsePolicy.java
+++ b/src/main/java/quotagateway/policy/retry/StalledResponsePolicy.java
@@ -21,9 +21,6 @@
    */
   private static final double MIN_REMAINING_TIME_RATIO = 10;
 
-  /** Age up to which responses show how fast other backends are. */
-  private static final double RECENT_RESPONSE_MS = 3_000;
-
   private final DecisionContext context;
   private final RetryPolicy retryPolicy;
   private final RecentResponses recentResponses;
@@ -70,7 +67,7 @@
    */
   private boolean mayAnotherDoBetter(
       RequestAttempts attempts, StallEvidence evidence, double sentAtMs, double remainingMs) {
-    if (!recentResponses.hasWithin(remainingMs, sentAtMs - RECENT_RESPONSE_MS)) {
+    if (!recentResponses.hasWithin(remainingMs, sentAtMs)) {
       return false;
     }
     return evidence.backendLeavesResponsesIncomplete()
--- a/src/test/java/quotagateway/backend/StalledResponseTest.java
+++ b/src/test/java/quotagateway/backend/StalledResponseTest.java
@@ -53,6 +53,8 @@
   }
 
   private void startAttempt(HttpMethod method) {
+    connection.freezeTime();
+    timers.freezeTime();
     BackendConnectionPool pool =
         new BackendConnectionPool(
             timers.eventLoop(),
--- a/src/test/java/quotagateway/server/EmbeddedGateway.java
+++ b/src/test/java/quotagateway/server/EmbeddedGateway.java
@@ -63,6 +63,7 @@
                 .config()
                 .replace("\"Counter\":true", "\"Counter\":false")
                 .replace("\"seed\"", "\"limits\":" + limits + ",\"seed\""));
+    timers.freezeTime();
     MonotonicClock clock = new MonotonicClock(nowNanos::get);
     lifecycle = new Lifecycle(clock);
     path =
@@ -82,6 +83,7 @@
 
   private ChannelFuture connectBackend(ChannelHandler handler) {
     PausableChannel backend = new PausableChannel(handler);
+    backend.freezeTime();
     backends.add(backend);
     return backend.newSucceededFuture();
   }
@@ -96,6 +98,7 @@
                 path.clients().addConnection(channel);
               }
             });
+    client.freezeTime();
     clients.add(client);
     return client;
   }
