Do not cut off a late response of which the kernel holds more

After a pause of this process its timers run before its sockets are read, so a streamed response could look stalled 0.4 s after its deadline while more of it had come.

--- a/src/main/java/quotagateway/backend/ResponseProgressTimer.java
+++ b/src/main/java/quotagateway/backend/ResponseProgressTimer.java
@@ -75,7 +75,12 @@
 
   /** Returns whether nothing of the response has arrived for one interval. */
   boolean isStalled() {
-    return silenceMs() >= CHECK_INTERVAL_MS;
+    return isStallOf(silenceMs());
+  }
+
+  /** Returns whether a response of which nothing has arrived for this time has stalled. */
+  boolean isStallOf(double silentMs) {
+    return silentMs >= CHECK_INTERVAL_MS;
   }
 
   /**
--- a/src/main/java/quotagateway/backend/ResponseReceiver.java
+++ b/src/main/java/quotagateway/backend/ResponseReceiver.java
@@ -11,6 +11,7 @@
 import io.netty.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import quotagateway.policy.event.Status;
+import quotagateway.transport.KernelSockets;
 import quotagateway.transport.MonotonicClock;
 import quotagateway.transport.PeerMemory;
 import quotagateway.transport.SocketTransport;
@@ -297,16 +298,19 @@
 
   private void scheduleLateEnd() {
     streamedBytes = 0;
-    if (!HttpUtil.isContentLengthSet(response.head())) {
-      double delayMs = attempt.deadlineMs() + MAX_LATE_MS - clock.now();
+    double delayMs = attempt.deadlineMs() + MAX_LATE_MS - clock.now();
+    if (!HttpUtil.isContentLengthSet(response.head()) && Double.isFinite(delayMs)) {
       lateEndTimer =
           channel.eventLoop().schedule(this::endIfLate, (long) delayMs, TimeUnit.MILLISECONDS);
     }
   }
 
+  /** After a pause of this process, the kernel may hold more of the response. */
   private void endIfLate() {
     boolean small = streamedBytes <= ReceivedResponse.MAX_BUFFERED_BYTES;
-    if (small && !paused && progressTimer.isStalled()) {
+    double receivedAgoMs = KernelSockets.msSinceLastReceive(channel);
+    boolean unread = receivedAgoMs > 0 && !progressTimer.isStallOf(receivedAgoMs);
+    if (small && !paused && !unread && progressTimer.isStalled()) {
       listener.responseMalformed();
     }
   }
