Hold a stalled response back where its deadline comes soon

A part of a body was passed on after 1.5 s of silence, also where the deadline followed at once: a response that never ended was then cut off 0.4 s later in place of a 503 in time. It is passed on only where the deadline would keep it back for over 2 s. Test: stalledResponseIsNotPassedOnShortlyBeforeTheDeadline.

--- a/src/main/java/quotagateway/backend/ResponseProgressTimer.java
+++ b/src/main/java/quotagateway/backend/ResponseProgressTimer.java
@@ -14,8 +14,11 @@
   /** Longest time between checks. A response of which nothing arrives for as long has stalled. */
   private static final long CHECK_INTERVAL_MS = 250;
 
-  /** Time without progress after which the part that has arrived is passed on. */
-  private static final double MAX_WITHHELD_MS = 1_500;
+  /** Time for which a client may be kept waiting for a part that has arrived. */
+  private static final double MAX_WITHHELD_MS = 2_000;
+
+  /** Time without progress after which such a part is passed on, checks and pauses included. */
+  private static final double WITHHELD_STALL_MS = 1_500;
 
   /**
    * Maximum time without progress of a streamed response. It is longer than backends hang, because
@@ -91,9 +94,12 @@
     return !isStalled() && progressAtMs - begunAtMs >= CHECK_INTERVAL_MS / 2.0;
   }
 
-  /** Returns whether the part that has arrived has been withheld for long enough. */
-  boolean isWithheldTooLong() {
-    return silenceMs() >= MAX_WITHHELD_MS;
+  /**
+   * Returns whether the part that has arrived has been withheld for long enough, and would be for
+   * too long at the deadline.
+   */
+  boolean isWithheldTooLong(double deadlineMs) {
+    return silenceMs() >= WITHHELD_STALL_MS && deadlineMs - progressAtMs > MAX_WITHHELD_MS;
   }
 
   /** Returns whether a streamed response has made no progress for too long to be awaited. */
--- a/src/main/java/quotagateway/backend/ResponseReceiver.java
+++ b/src/main/java/quotagateway/backend/ResponseReceiver.java
@@ -412,7 +412,9 @@
       stallReported = true;
       attempt.onResponseProgress(true);
     }
-    if (attempt != null && progressTimer.isWithheldTooLong() && hasBodyToStream()) {
+    if (attempt != null
+        && progressTimer.isWithheldTooLong(attempt.deadlineMs())
+        && hasBodyToStream()) {
       startStreaming();
     }
   }
--- a/src/test/java/quotagateway/backend/StalledResponseTest.java
+++ b/src/test/java/quotagateway/backend/StalledResponseTest.java
@@ -302,4 +302,15 @@
     assertEquals(70_001, streamed.length());
     assertEquals(List.of("OK"), results);
   }
+
+  /** Its request gets a final response at the deadline, which comes soon enough. */
+  @Test
+  void stalledResponseIsNotPassedOnShortlyBeforeTheDeadline() {
+    startAttempt();
+    advance(TIMEOUT_MS - MAX_WITHHELD_MS - MAX_STALL_MS);
+    receive("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n");
+    advance(MAX_WITHHELD_MS + MAX_STALL_MS);
+    assertEquals("", streamed.toString());
+    assertEquals(List.of("TIMED_OUT"), results);
+  }
 }
