Await a connection where connections to all backends are slow

The connect timeout of the settings ended each attempt alike; where new connections to all backends need longer, a request got 503 after its six attempts, whatever time was left. A further attempt may now wait for its connection until the deadline, if the connection to another backend has timed out and no backend has responded since the request came. A refused connection does not count, nor does the same backend again (a vanished host alone still gets its 503 after the attempts: GatewayServerTest, unchanged).

--- a/src/main/java/quotagateway/backend/Attempt.java
+++ b/src/main/java/quotagateway/backend/Attempt.java
@@ -39,6 +39,7 @@
   private double writeDeadlineMs = Double.POSITIVE_INFINITY;
 
   private InetSocketAddress backendAddress;
+  private boolean awaitsConnection;
 
   /** Null, like the writer, until the attempt has a connection. */
   private BackendConnection connection;
@@ -110,6 +111,15 @@
     }
   }
 
+  /** Lets the attempt wait for its connection for longer than the connect timeout. */
+  public final void awaitConnection() {
+    awaitsConnection = true;
+  }
+
+  final boolean awaitsConnection() {
+    return awaitsConnection;
+  }
+
   final void setBackendAddress(InetSocketAddress address) {
     backendAddress = address;
   }
--- a/src/main/java/quotagateway/backend/BackendConnector.java
+++ b/src/main/java/quotagateway/backend/BackendConnector.java
@@ -46,15 +46,17 @@
     ResponseDecoder decoder = new ResponseDecoder();
     BackendConnection connection =
         new BackendConnection(backend, backend.address(), decoder, clock, memory, reuse);
+    ChannelInitializer<Channel> initializer =
+        new ChannelInitializer<Channel>() {
+          @Override
+          protected void initChannel(Channel channel) {
+            channel.pipeline().addLast(decoder, new HttpRequestEncoder(), connection);
+          }
+        };
     ChannelFuture connectFuture =
-        dialer.dial(
-            backend.address(),
-            new ChannelInitializer<Channel>() {
-              @Override
-              protected void initChannel(Channel channel) {
-                channel.pipeline().addLast(decoder, new HttpRequestEncoder(), connection);
-              }
-            });
+        attempt.awaitsConnection()
+            ? dialer.dialPatiently(backend.address(), initializer)
+            : dialer.dial(backend.address(), initializer);
     connectFuture.addListener((ChannelFuture result) -> releaseWhenClosed(result, backend));
     connectFuture.addListener(
         (ChannelFuture result) -> {
--- a/src/main/java/quotagateway/driver/AttemptStarter.java
+++ b/src/main/java/quotagateway/driver/AttemptStarter.java
@@ -78,6 +78,9 @@
     if (request.lastStatus() != null) {
       request.logLine(LogEvent.ATTEMPT_RETRIED, request.lastStatus().name(), startedAtMs).write();
     }
+    if (action.awaitConnection()) {
+      attempt.awaitConnection();
+    }
     request.onAttemptStarted(attempt);
     backends.start(action.endpointId(), attempt, action.maxStartDelayMs() - latenessMs);
   }
--- a/src/main/java/quotagateway/policy/AttemptMonitor.java
+++ b/src/main/java/quotagateway/policy/AttemptMonitor.java
@@ -14,6 +14,7 @@
 import quotagateway.policy.retry.StalledResponsePolicy;
 import quotagateway.policy.routing.AttemptRecord;
 import quotagateway.policy.routing.BackendRouter;
+import quotagateway.policy.routing.BackendStatus;
 
 /**
  * Watches the attempts in flight, and cancels one that looks lost or whose response has stalled if
@@ -21,6 +22,9 @@
  */
 final class AttemptMonitor {
 
+  /** A connection that failed sooner was refused. */
+  private static final double MIN_CONNECT_TIMEOUT_MS = 100;
+
   /** Share of a wait from which on another one is about as long. */
   private static final double SIMILAR_WAIT_RATIO = 0.5;
 
@@ -50,10 +54,26 @@
   }
 
   /** Records the outcome of an attempt. */
-  void recordOutcome(AttemptEnded event) {
+  void recordOutcome(OpenRequest request, AttemptRecord attempt, AttemptEnded event) {
     if (event.status() == Status.OK) {
       recentResponses.record(context.nowMs(), event.latencyMs());
     }
+    boolean timedOut = context.nowMs() - attempt.sentAtMs() >= MIN_CONNECT_TIMEOUT_MS;
+    if (event.status() == Status.CONNECT_FAILED && timedOut) {
+      request.connectTimedOutBackend = attempt.backend();
+    }
+  }
+
+  /**
+   * Returns whether the next attempt of a request may wait for its connection until the deadline:
+   * the connection to another backend has timed out, and no backend has responded since the request
+   * came. Connections to all backends may then need more than the connect timeout.
+   */
+  boolean mayAwaitConnection(OpenRequest request, BackendStatus backend) {
+    BackendStatus timedOut = request.connectTimedOutBackend;
+    return timedOut != null
+        && timedOut != backend
+        && !recentResponses.hasAnySince(request.receivedAtMs);
   }
 
   /**
--- a/src/main/java/quotagateway/policy/GatewayPolicy.java
+++ b/src/main/java/quotagateway/policy/GatewayPolicy.java
@@ -263,7 +263,8 @@
             request.id,
             backend.endpointId(),
             retryPolicy.remainingMs(request.deadlineAtMs),
-            retryPolicy.maxStartDelayMs(request.attempts)));
+            retryPolicy.maxStartDelayMs(request.attempts),
+            attemptMonitor.mayAwaitConnection(request, backend)));
   }
 
   /**
@@ -351,7 +352,7 @@
         wakeUpTimer.stalledMsSince(attempt.sentAtMs()),
         router.fleetServiceMs());
     router.attemptEnded(attempt, event, wakeUpTimer.stalledUntilMs());
-    attemptMonitor.recordOutcome(event);
+    attemptMonitor.recordOutcome(request, attempt, event);
     if (event.status() == Status.OK) {
       quotaLimiter.settle(request.reservation, event.chargedUnits());
     }
--- a/src/main/java/quotagateway/policy/OpenRequest.java
+++ b/src/main/java/quotagateway/policy/OpenRequest.java
@@ -4,6 +4,7 @@
 import quotagateway.policy.quota.QuotaReservation;
 import quotagateway.policy.retry.RequestAttempts;
 import quotagateway.policy.routing.AttemptRecord;
+import quotagateway.policy.routing.BackendStatus;
 import quotagateway.policy.routing.RequestRouting;
 import quotagateway.policy.settings.Capabilities;
 import quotagateway.policy.settings.DeduplicationScope;
@@ -41,6 +42,9 @@
   /** The attempt in progress, or null. */
   AttemptRecord currentAttempt;
 
+  /** The backend of the latest attempt whose connection timed out, or null. */
+  BackendStatus connectTimedOutBackend;
+
   /** Whether the request is waiting because no backend is usable. */
   boolean awaitingBackend;
 
--- a/src/main/java/quotagateway/policy/action/StartAttempt.java
+++ b/src/main/java/quotagateway/policy/action/StartAttempt.java
@@ -8,9 +8,15 @@
  * @param timeoutMs time within which the response has to arrive to reach the client in time
  * @param maxStartDelayMs time within which the request has to be completely written, or else the
  *     attempt ends as not sent; infinite if there is no limit
+ * @param awaitConnection whether a connection may take longer than the connect timeout
  */
 public record StartAttempt(
-    String requestId, long endpointId, double timeoutMs, double maxStartDelayMs) implements Action {
+    String requestId,
+    long endpointId,
+    double timeoutMs,
+    double maxStartDelayMs,
+    boolean awaitConnection)
+    implements Action {
 
   @Override
   public <E extends Exception> void handle(Handler<E> handler) throws E {
--- a/src/main/java/quotagateway/transport/Dialer.java
+++ b/src/main/java/quotagateway/transport/Dialer.java
@@ -23,6 +23,17 @@
    */
   ChannelFuture dial(InetSocketAddress address, ChannelHandler handler);
 
+  /**
+   * Starts to connect to a peer whose connections may take longer than the connect timeout.
+   *
+   * @param address the peer's address
+   * @param handler the first handler of the new channel, which sets up its pipeline
+   * @return a future that completes on the event loop when the connection is open or has failed
+   */
+  default ChannelFuture dialPatiently(InetSocketAddress address, ChannelHandler handler) {
+    return dial(address, handler);
+  }
+
   /**
    * Returns a dialer that opens sockets with the buffer and read sizes of {@link SocketTransport}.
    *
@@ -47,8 +58,7 @@
             .channel(SocketTransport.PREFERRED.socket())
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.SO_SNDBUF, SocketTransport.SEND_BUFFER_BYTES)
-            .option(ChannelOption.RECVBUF_ALLOCATOR, reads)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) Math.ceil(connectTimeoutMs));
-    return (address, handler) -> bootstrap.clone().handler(handler).connect(address);
+            .option(ChannelOption.RECVBUF_ALLOCATOR, reads);
+    return new SocketDialer(bootstrap, connectTimeoutMs);
   }
 }
--- a/src/test/java/quotagateway/policy/AttemptMonitorTest.java
+++ b/src/test/java/quotagateway/policy/AttemptMonitorTest.java
@@ -123,4 +123,28 @@
     fixture.on(new ResponseProgress(start.requestId(), 0, true)).runFor(3_500);
     assertFalse(fixture.hasAction(CancelAttempt.class));
   }
+
+  /** Each attempt waited for the connect timeout alike, until none was left. */
+  @Test
+  void secondConnectionIsAwaitedIfNoBackendHasRespondedMeanwhile() {
+    StartAttempt first = request();
+    assertFalse(first.awaitConnection());
+    fixture.advanceClock(250).endAttempt(first, 0, Status.CONNECT_FAILED, false);
+    assertTrue(fixture.lastActionOfType(StartAttempt.class).awaitConnection());
+  }
+
+  @Test
+  void secondConnectionIsNotAwaitedIfAnotherBackendResponds() {
+    StartAttempt first = request();
+    fixture.endAttempt(request(), 0, Status.OK, true);
+    fixture.advanceClock(250).endAttempt(first, 0, Status.CONNECT_FAILED, false);
+    assertFalse(fixture.lastActionOfType(StartAttempt.class).awaitConnection());
+  }
+
+  @Test
+  void connectionBehindARefusedOneIsNotAwaited() {
+    StartAttempt first = request();
+    fixture.advanceClock(1).endAttempt(first, 0, Status.CONNECT_FAILED, false);
+    assertFalse(fixture.lastActionOfType(StartAttempt.class).awaitConnection());
+  }
 }
