Answer an open request that is ended for lack of memory

Where the heap is exhausted and nothing unfinished is left to end, open requests were ended by a reset: a request that had been read got no final response, because of other clients. One whose response has not begun now fails with 502, and its connection closes behind it; a streamed one is reset as before. Test: openRequestThatIsEndedGetsItsFinalResponse (failed before).

--- a/src/main/java/quotagateway/client/ClientConnection.java
+++ b/src/main/java/quotagateway/client/ClientConnection.java
@@ -288,6 +288,16 @@
     }
   }
 
+  /**
+   * Ends the open request to free its memory: its client gets an error, or a reset if the response
+   * has begun.
+   */
+  void endOpenRequest() {
+    if (isClosing() || exchange == null || !exchange.failForOverload()) {
+      closer.reset(CloseReason.OUT_OF_MEMORY);
+    }
+  }
+
   // Responses
 
   /** Writes an exchange's response, then starts the next request or closes the connection. */
--- a/src/main/java/quotagateway/client/Exchange.java
+++ b/src/main/java/quotagateway/client/Exchange.java
@@ -216,6 +216,20 @@
     }
   }
 
+  /**
+   * Fails the request if its response has not begun, and closes the connection behind the error.
+   *
+   * @return whether the client gets an error
+   */
+  boolean failForOverload() {
+    if (state != State.FORWARDED) {
+      return false;
+    }
+    keepAlive = false;
+    context.driver().failForOverload(requestId);
+    return true;
+  }
+
   private void failInternally(RuntimeException cause) {
     LOG.log(Level.SEVERE, "request failed", cause);
     if (isOpen()) {
--- a/src/main/java/quotagateway/client/OverloadManager.java
+++ b/src/main/java/quotagateway/client/OverloadManager.java
@@ -42,7 +42,7 @@
     largestFirst.sort(
         Comparator.comparingInt((ClientConnection c) -> c.memory().heldBytes()).reversed());
     long freedBytes = end(largestFirst, excessBytes, OverloadManager::dropUnstarted);
-    freedBytes += end(largestFirst, excessBytes - freedBytes, OverloadManager::reset);
+    freedBytes += end(largestFirst, excessBytes - freedBytes, OverloadManager::endOpenRequest);
     LOG.warning("heap exhausted excess_bytes=" + excessBytes + " freed_bytes=" + freedBytes);
   }
 
@@ -69,10 +69,10 @@
     return heldBytes - connection.memory().heldBytes();
   }
 
-  /** Resets a connection; a request with an attempt in flight is freed with the attempt's end. */
-  private static int reset(ClientConnection connection) {
+  /** Ends an open request; one with an attempt in flight is freed with the attempt's end. */
+  private static int endOpenRequest(ClientConnection connection) {
     int heldBytes = connection.memory().heldBytes();
-    connection.closer().reset(CloseReason.OUT_OF_MEMORY);
+    connection.endOpenRequest();
     return heldBytes;
   }
 }
--- a/src/main/java/quotagateway/driver/PolicyDriver.java
+++ b/src/main/java/quotagateway/driver/PolicyDriver.java
@@ -235,6 +235,14 @@
     PeriodicTask.forEachIsolated(requests.all(), request -> fail(request, "SHUTDOWN"));
   }
 
+  /** Fails a request, if it has no final response yet, because memory is exhausted. */
+  public void failForOverload(String id) {
+    ActiveRequest request = requests.get(id);
+    if (request != null) {
+      fail(request, "OUT_OF_MEMORY");
+    }
+  }
+
   private void fail(ActiveRequest request, String reason) {
     if (request.finish()) {
       log(LogEvent.REQUEST_FAILED, request, reason);
--- a/src/test/java/quotagateway/server/HeapExhaustionTest.java
+++ b/src/test/java/quotagateway/server/HeapExhaustionTest.java
@@ -58,6 +58,17 @@
     assertFalse(open.isActive());
   }
 
+  /** It was reset, so that a request that had been read got no final response. */
+  @Test
+  void openRequestThatIsEndedGetsItsFinalResponse() {
+    PausableChannel open = gateway.connectClient();
+    EmbeddedGateway.send(open, TestRequests.get("open", 3000));
+    gateway.heap.liveBytes = EXHAUSTED;
+    gateway.advance(200);
+    assertTrue(open.readAllOutbound().startsWith("HTTP/1.1 502"));
+    assertFalse(open.isActive());
+  }
+
   @Test
   void newRequestsAreRejectedUntilTheHeapHasRoom() {
     gateway.heap.liveBytes = EXHAUSTED;
