Write all log records on a thread of its own

More is logged now, and a pipe that nobody reads fills: a record of any class would then have held up the event loop, as the console handler is shared.

--- a/src/main/java/quotagateway/Main.java
+++ b/src/main/java/quotagateway/Main.java
@@ -4,6 +4,7 @@
 import quotagateway.config.InvalidConfigurationException;
 import quotagateway.server.ServeCommand;
 import quotagateway.simulator.SimulatorAdapter;
+import quotagateway.transport.AsyncLogHandler;
 
 /**
  * The commands of the program: {@code serve} runs the gateway, and {@code simulator-adapter} runs
@@ -37,6 +38,7 @@
 
   private static void serve() throws InterruptedException {
     System.setProperty(LOG_FORMAT_PROPERTY, LOG_FORMAT);
+    AsyncLogHandler.install();
     try {
       ServeCommand.run(System.getenv());
     } catch (IOException | InvalidConfigurationException | RuntimeException e) {
--- a/src/main/java/quotagateway/transport/EventLog.java
+++ b/src/main/java/quotagateway/transport/EventLog.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import java.util.logging.Logger;
 
 /**
  * Structured log of what happens to requests, attempts and connections: one line an event, which
@@ -15,6 +16,8 @@
  */
 public final class EventLog {
 
+  private static final Logger LOG = Logger.getLogger("quotagateway.events");
+
   /** Lines that may be written at once for an event and reason. */
   private static final double BURST_LINES = 20;
 
@@ -28,7 +31,7 @@
   private static final double NANOS_PER_SECOND = 1e9;
 
   private static final ThreadLocal<EventLog> OF_THREAD =
-      ThreadLocal.withInitial(() -> new EventLog(System::nanoTime, LogWriter.shared()::write));
+      ThreadLocal.withInitial(() -> new EventLog(System::nanoTime, LOG::info));
 
   private final LongSupplier nanoClock;
   private final Consumer<String> output;
