Judge the last moment for a retry by recent responses, and stream only what arrives

The time that another attempt needs was twice the mean service time, which follows slowly: with responses of 0.3 s the retry of a stalled response came too late at first. It is now twice the time within which four in five of the recent responses came, if that is longer. And a response that began shortly before its deadline and stopped is no longer streamed there, to be cut off 0.4 s later, but gets its final answer in time. Tests: stallIsGivenUpSoonerIfRecentResponsesTookLongerThanTheMean, responseThatStoppedBeforeTheDeadlineIsNotStreamed.

--- a/src/main/java/quotagateway/backend/ResponseProgressTimer.java
+++ b/src/main/java/quotagateway/backend/ResponseProgressTimer.java
@@ -14,6 +14,9 @@
   /** Longest time between checks. A response of which nothing arrives for as long has stalled. */
   private static final long CHECK_INTERVAL_MS = 250;
 
+  /** Age up to which a part is new, so that the next one may be expected. */
+  private static final double FRESH_MS = CHECK_INTERVAL_MS / 2.0;
+
   /** Time for which a client may be kept waiting for a part that has arrived. */
   private static final double MAX_WITHHELD_MS = 2_000;
 
@@ -91,7 +94,12 @@
    * together may have stalled behind them.
    */
   boolean isArriving() {
-    return !isStalled() && progressAtMs - begunAtMs >= CHECK_INTERVAL_MS / 2.0;
+    return !isStalled() && progressAtMs - begunAtMs >= FRESH_MS;
+  }
+
+  /** Returns whether the response arrives over some time, or a part has arrived just now. */
+  boolean isArrivingNow() {
+    return isArriving() || silenceMs() < FRESH_MS;
   }
 
   /**
--- a/src/main/java/quotagateway/backend/ResponseReceiver.java
+++ b/src/main/java/quotagateway/backend/ResponseReceiver.java
@@ -426,7 +426,7 @@
   boolean streamIfArriving() {
     return attempt != null
         && !paused
-        && !progressTimer.isStalled()
+        && progressTimer.isArrivingNow()
         && mayBeIntentionallySlow()
         && tryStream();
   }
--- a/src/main/java/quotagateway/policy/retry/RecentResponses.java
+++ b/src/main/java/quotagateway/policy/retry/RecentResponses.java
@@ -1,5 +1,7 @@
 package quotagateway.policy.retry;
 
+import java.util.stream.IntStream;
+
 /**
  * The latest successful responses of all backends. They show whether another attempt could be
  * answered within a given time. Owned by the policy's thread; times are in milliseconds.
@@ -14,6 +16,9 @@
    */
   private static final double MAX_AGE_MS = 3_000;
 
+  /** Share of responses that the usual latency covers. */
+  private static final double USUAL_SHARE = 0.8;
+
   private final double[] receivedAtMs = new double[CAPACITY];
   private final double[] latencyMs = new double[CAPACITY];
   private int recorded;
@@ -41,6 +46,20 @@
     return has(maxLatencyMs, sentAtMs - MAX_AGE_MS);
   }
 
+  /**
+   * Returns the time within which most recent responses came before an attempt that was sent then;
+   * 0 if there was none.
+   */
+  double usualLatencyMs(double sentAtMs) {
+    double[] recent =
+        IntStream.range(0, Math.min(recorded, CAPACITY))
+            .filter(i -> receivedAtMs[i] >= sentAtMs - MAX_AGE_MS)
+            .mapToDouble(i -> latencyMs[i])
+            .sorted()
+            .toArray();
+    return recent.length == 0 ? 0 : recent[(int) ((recent.length - 1) * USUAL_SHARE)];
+  }
+
   private boolean has(double maxLatencyMs, double sinceMs) {
     for (int i = 0; i < Math.min(recorded, CAPACITY); i++) {
       if (receivedAtMs[i] >= sinceMs && latencyMs[i] <= maxLatencyMs) {
--- a/src/main/java/quotagateway/policy/retry/StalledResponsePolicy.java
+++ b/src/main/java/quotagateway/policy/retry/StalledResponsePolicy.java
@@ -57,7 +57,11 @@
     boolean early =
         !attempts.hasCancelledAttempt() && remainingMs >= MIN_REMAINING_TIME_RATIO * waitedMs;
     double latestAtMs =
-        retryPolicy.latestReplacementAtMs(attempts, sentAtMs, deadlineAtMs, meanServiceMs);
+        retryPolicy.latestReplacementAtMs(
+            attempts,
+            sentAtMs,
+            deadlineAtMs,
+            Math.max(meanServiceMs, recentResponses.usualLatencyMs(sentAtMs)));
     return early || nextCheckAtMs > latestAtMs;
   }
 
--- a/src/test/java/quotagateway/backend/StalledResponseTest.java
+++ b/src/test/java/quotagateway/backend/StalledResponseTest.java
@@ -313,4 +313,15 @@
     assertEquals("", streamed.toString());
     assertEquals(List.of("TIMED_OUT"), results);
   }
+
+  /** It began shortly before the deadline and stopped; streamed, it was cut off later on. */
+  @Test
+  void responseThatStoppedBeforeTheDeadlineIsNotStreamed() {
+    startAttempt();
+    advance(TIMEOUT_MS - MAX_STALL_MS + 40);
+    receive("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n");
+    advance(MAX_STALL_MS - 40);
+    assertEquals("", streamed.toString());
+    assertEquals(List.of("TIMED_OUT"), results);
+  }
 }
--- a/src/test/java/quotagateway/policy/retry/StalledResponsePolicyTest.java
+++ b/src/test/java/quotagateway/policy/retry/StalledResponsePolicyTest.java
@@ -98,6 +98,17 @@
     assertAtLastMoment(givenUpAfterMs(UNKNOWN));
   }
 
+  /** The mean follows slowly; a retry by it came too late to be answered. */
+  @Test
+  void stallIsGivenUpSoonerIfRecentResponsesTookLongerThanTheMean() {
+    for (int i = 0; i < 16; i++) {
+      recentResponses.record(START_MS - 100, i < 14 ? 300 : 900);
+    }
+    double givenUpMs = givenUpAfterMs(UNKNOWN);
+    assertTrue(givenUpMs <= TIMEOUT_MS - 2 * 300 - 15, "no time is left for another attempt");
+    assertTrue(givenUpMs > TIMEOUT_MS - 2 * 300 - 15 - 2 * CHECK_INTERVAL_MS, "given up too soon");
+  }
+
   @Test
   void firstStallIsGivenUpAtOnceIfNearlyAllOfTheTimeIsLeft() {
     backendsAnsweredPromptly();
