Give up a stalled response only if the time left suffices for a usual response

The moment for the retry, taken as twice the usual latency before the deadline, lay in the past where responses are slow: then the first stall was given up at once, for an attempt that had too little time as well. Kept are 1.25 of the usual latency, and a stall is awaited if less than one usual latency is left.

--- a/src/main/java/quotagateway/policy/retry/StalledResponsePolicy.java
+++ b/src/main/java/quotagateway/policy/retry/StalledResponsePolicy.java
@@ -12,6 +12,9 @@
  */
 public final class StalledResponsePolicy {
 
+  /** Time kept for another attempt, as a multiple of the usual latency. */
+  private static final double USUAL_LATENCY_RESERVE = 1.25;
+
   /** Share of recent stalls that ended by themselves, from which on a stall is awaited. */
   private static final double MIN_RESUMED_SHARE = 0.5;
 
@@ -56,13 +59,13 @@
     double waitedMs = context.nowMs() - sentAtMs;
     boolean early =
         !attempts.hasCancelledAttempt() && remainingMs >= MIN_REMAINING_TIME_RATIO * waitedMs;
+    double usualLatencyMs = recentResponses.usualLatencyMs(sentAtMs);
     double latestAtMs =
-        retryPolicy.latestReplacementAtMs(
-            attempts,
-            sentAtMs,
-            deadlineAtMs,
-            Math.max(meanServiceMs, recentResponses.usualLatencyMs(sentAtMs)));
-    return early || nextCheckAtMs > latestAtMs;
+        Math.min(
+            retryPolicy.latestReplacementAtMs(attempts, sentAtMs, deadlineAtMs, meanServiceMs),
+            context.nowMs() + remainingMs - usualLatencyMs * USUAL_LATENCY_RESERVE);
+    boolean lastMoment = nextCheckAtMs > latestAtMs && remainingMs >= usualLatencyMs;
+    return early || lastMoment;
   }
 
   /**
