--- a/src/test/java/quotagateway/soak/SoakGateway.java
+++ b/src/test/java/quotagateway/soak/SoakGateway.java
@@ -48,6 +48,8 @@
   private static final double MAX_READY_AFTER_UNDRAIN_MS = 2_000;
   private static final long READY_POLL_MS = 20;
 
+  private static final int LOG_TAIL_LINES = 3;
+
   private static final String SETTINGS =
       """
        "settings":{"Balancers":%d,"SelfIndex":%d,"MyZone":"a","Discovery":"push",
@@ -216,10 +218,21 @@
       }
       TimeUnit.MILLISECONDS.sleep(READY_POLL_MS);
     }
-    faults.add("gateway " + number + " exited during startup");
+    faults.add("gateway " + number + " exited during startup; its log ends: " + logTail());
     return false;
   }
 
+  /** Returns the last lines of the log, which tell why a process ended by itself. */
+  private String logTail() {
+    try {
+      List<String> lines = Files.readAllLines(folder.resolve("log"));
+      return String.join(
+          " | ", lines.subList(Math.max(0, lines.size() - LOG_TAIL_LINES), lines.size()));
+    } catch (IOException e) {
+      return "unknown: " + e.getMessage();
+    }
+  }
+
   /** Makes an operator's call and returns the response status, or 0 if there is no response. */
   int callOperator(String call) {
     try (TestClient caller =
