Count only backend connections in use against the limit of client connections

Callers within the connection budget got a 503 while connections to backends were idle: requests that follow each other in less than 15 ms, or a burst, leave up to 44% of all connections idle, each of which lowered the limit of the clients.

Now the budget counts idle connections apart and lowers the limit only by those in use. If clients and backends together exceed the budget as a client connects, idle connections to backends are closed first, so that the number of descriptors stays as it was bounded.

--- a/src/main/java/quotagateway/backend/BackendConnectionPool.java
+++ b/src/main/java/quotagateway/backend/BackendConnectionPool.java
@@ -192,11 +192,19 @@
       return null;
     }
     BackendConnections backend =
-        new BackendConnections(clock, reuse, address, endpoints.startedMs(id));
+        new BackendConnections(clock, reuse, budget, address, endpoints.startedMs(id));
     backends.put(id, backend);
     return backend;
   }
 
+  /** Closes idle connections as long as the connection budget is exceeded. */
+  public void closeIdleOverBudget() {
+    boolean closed = true;
+    while (closed && budget.isExceeded()) {
+      closed = closeOneIdle();
+    }
+  }
+
   private void closeExpiredIdle() {
     double idleSinceLimitMs = clock.now() - maxIdleMs;
     backends.values().forEach(backend -> backend.closeIdleSinceBefore(idleSinceLimitMs));
--- a/src/main/java/quotagateway/backend/BackendConnections.java
+++ b/src/main/java/quotagateway/backend/BackendConnections.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import quotagateway.endpoint.Endpoint;
 import quotagateway.transport.BackendAddress;
+import quotagateway.transport.ConnectionBudget;
 import quotagateway.transport.MonotonicClock;
 import quotagateway.transport.PeriodicTask;
 
@@ -33,6 +34,7 @@
 
   private final MonotonicClock clock;
   private final IdleConnectionReuse reuse;
+  private final ConnectionBudget budget;
   private InetSocketAddress address;
   private long listedAddress;
   private double startedMs;
@@ -57,13 +59,19 @@
   /**
    * Creates an entry without connections.
    *
+   * @param budget counts which connections are idle
    * @param listedAddress the encoded address in the endpoint list
    * @param startedMs the time at which the backend is assumed to have started
    */
   BackendConnections(
-      MonotonicClock clock, IdleConnectionReuse reuse, long listedAddress, double startedMs) {
+      MonotonicClock clock,
+      IdleConnectionReuse reuse,
+      ConnectionBudget budget,
+      long listedAddress,
+      double startedMs) {
     this.clock = clock;
     this.reuse = reuse;
+    this.budget = budget;
     this.listedAddress = listedAddress;
     this.startedMs = startedMs;
     address = BackendAddress.decode(listedAddress);
@@ -140,6 +148,7 @@
         return null;
       }
       newestFirst.remove();
+      budget.addIdleBackendConnections(-1);
       connection.markReused(now);
       if (connection.idleSinceMs() >= now - maxIdleMs && connection.isUsable()) {
         return connection;
@@ -152,7 +161,7 @@
   /** Closes connections that became idle before the given time. */
   void closeIdleSinceBefore(double timeMs) {
     while (!idle.isEmpty() && idle.peekFirst().idleSinceMs() < timeMs) {
-      idle.pollFirst().close();
+      closeOldestIdle();
     }
   }
 
@@ -166,6 +175,7 @@
     if (oldest == null) {
       return false;
     }
+    budget.addIdleBackendConnections(-1);
     oldest.close();
     return true;
   }
@@ -175,6 +185,7 @@
     if (!removed && !isReuseSuspended() && address.equals(connection.address())) {
       connection.markIdle();
       idle.addLast(connection);
+      budget.addIdleBackendConnections(1);
     } else {
       connection.close();
     }
@@ -192,6 +203,8 @@
 
   @Override
   public void connectionClosed(BackendConnection connection) {
-    idle.remove(connection);
+    if (idle.remove(connection)) {
+      budget.addIdleBackendConnections(-1);
+    }
   }
 }
--- a/src/main/java/quotagateway/client/ClientConnections.java
+++ b/src/main/java/quotagateway/client/ClientConnections.java
@@ -39,10 +39,10 @@
   }
 
   /**
-   * Counts a new connection, and evicts an idle one if there are too many. Without this, idle
-   * clients could take all descriptors: no connection to a backend, to the counter or to discovery
-   * could be opened, and the process might fail. The drawback is that an evicted client has to
-   * reconnect.
+   * Counts a new connection, and evicts an idle one if there are too many: first those to backends,
+   * which no one notices, then those of clients. Without this, idle clients could take all
+   * descriptors: no connection to a backend, to the counter or to discovery could be opened, and
+   * the process might fail. The drawback is that an evicted client has to reconnect.
    *
    * @return true if the new connection exceeds the budget: its first request is rejected, and the
    *     connection is closed
@@ -50,6 +50,7 @@
   boolean onOpened(ClientConnection connection) {
     connections.add(connection);
     budget.addClientConnections(1);
+    context.backends().closeIdleOverBudget();
     int max = budget.maxClientConnections();
     if (budget.clientConnections() > max) {
       evictLongestIdle();
--- a/src/main/java/quotagateway/client/ClientContext.java
+++ b/src/main/java/quotagateway/client/ClientContext.java
@@ -57,6 +57,10 @@
     return clock.now();
   }
 
+  BackendConnectionPool backends() {
+    return backends;
+  }
+
   PolicyDriver driver() {
     return driver;
   }
--- a/src/main/java/quotagateway/transport/ConnectionBudget.java
+++ b/src/main/java/quotagateway/transport/ConnectionBudget.java
@@ -3,7 +3,8 @@
 /**
  * Divides the connections that this process may have, which are limited by its descriptors, between
  * clients and backends. Clients may use what backends do not need, and their limit falls as
- * backends need more. Not thread-safe; confined to one event loop.
+ * backends need more. An idle connection to a backend is not needed, as a new one can be opened
+ * later. Not thread-safe; confined to one event loop.
  */
 public final class ConnectionBudget {
 
@@ -23,6 +24,7 @@
   private int limit;
   private int clientConnections;
   private int backendConnections;
+  private int idleBackendConnections;
 
   /**
    * Creates a budget.
@@ -58,6 +60,14 @@
     backendConnections += change;
   }
 
+  /**
+   * Counts how many of the open backend connections are idle. A negative number counts those that
+   * are used again or are being closed.
+   */
+  public void addIdleBackendConnections(int change) {
+    idleBackendConnections += change;
+  }
+
   /** Returns the number of open client connections. */
   public int clientConnections() {
     return clientConnections;
@@ -65,7 +75,8 @@
 
   /** Returns the maximum number of client connections, given the backend connections in use. */
   public int maxClientConnections() {
-    double needed = backendConnections + limit * BACKEND_HEADROOM_SHARE;
+    int activeBackendConnections = backendConnections - idleBackendConnections;
+    double needed = activeBackendConnections + limit * BACKEND_HEADROOM_SHARE;
     double reserved = Math.max(limit * MIN_BACKEND_SHARE, needed);
     return limit - (int) reserved;
   }
@@ -75,4 +86,9 @@
     return backendConnections < limit * MAX_BACKEND_SHARE
         && clientConnections + backendConnections < limit;
   }
+
+  /** Returns whether clients and backends have more connections than this process may have. */
+  public boolean isExceeded() {
+    return clientConnections + backendConnections > limit;
+  }
 }
--- a/src/test/java/quotagateway/transport/ConnectionBudgetTest.java
+++ b/src/test/java/quotagateway/transport/ConnectionBudgetTest.java
@@ -25,6 +25,25 @@
     assertEquals(75, budget.maxClientConnections());
   }
 
+  @Test
+  void idleBackendConnectionsDoNotLowerTheClientLimit() {
+    budget.addBackendConnections(40);
+    assertEquals(52, budget.maxClientConnections());
+    budget.addIdleBackendConnections(30);
+    assertEquals(75, budget.maxClientConnections());
+    budget.addIdleBackendConnections(-30);
+    assertEquals(52, budget.maxClientConnections());
+  }
+
+  @Test
+  void isExceededByConnectionsOfClientsAndBackendsTogether() {
+    budget.addBackendConnections(40);
+    budget.addClientConnections(60);
+    assertFalse(budget.isExceeded());
+    budget.addClientConnections(1);
+    assertTrue(budget.isExceeded());
+  }
+
   @Test
   void limitsBackendsToLessThanHalfOfTheConnections() {
     budget.addBackendConnections(43);
