Soak: reserve the gateways' ports for the whole run

The soak took a port that was free for a moment and closed its socket, so that any other process could bind the port before the gateway did, at its start or between two of its processes.

The reservation is a socket that is bound and does not listen, as ResourceLimitsTest had it; that test and the scale tests use the same class now.

--- a/src/test/java/quotagateway/scale/ProgramProcess.java
+++ b/src/test/java/quotagateway/scale/ProgramProcess.java
@@ -2,17 +2,17 @@
 
 import java.io.Closeable;
 import java.io.IOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
 import quotagateway.testing.GatewayProcess;
+import quotagateway.testing.PortReservation;
 
 /** The gateway in a separate process, started with the Java options of deploy/balancer.toml. */
 final class ProgramProcess implements Closeable {
 
+  private final PortReservation portReservation = new PortReservation();
   private final GatewayProcess process;
   private final Path folder;
   private final InetSocketAddress address;
@@ -20,7 +20,7 @@
   /** Starts the gateway from the given classes, with the discovery agent's port on loopback. */
   ProgramProcess(String programClasses, int agentPort) throws IOException {
     folder = Files.createTempDirectory("scale-gateway");
-    address = new InetSocketAddress(InetAddress.getLoopbackAddress(), freePort());
+    address = portReservation.address();
     Path config = folder.resolve("config.json");
     Files.writeString(config, config(agentPort));
     process =
@@ -30,12 +30,6 @@
             folder.resolve("log"));
   }
 
-  private static int freePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0)) {
-      return socket.getLocalPort();
-    }
-  }
-
   private String config(int agentPort) {
     return """
         {"name":"n0","listen":"127.0.0.1:%d","discovery":"127.0.0.1:%d","seed":"1",
@@ -73,6 +67,7 @@
   @Override
   public void close() throws IOException {
     process.close();
+    portReservation.close();
     try (var files = Files.list(folder)) {
       for (Path file : files.toList()) {
         Files.deleteIfExists(file);
--- a/src/test/java/quotagateway/server/ResourceLimitsTest.java
+++ b/src/test/java/quotagateway/server/ResourceLimitsTest.java
@@ -6,10 +6,7 @@
 
 import java.io.IOException;
 import java.io.OutputStream;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.Socket;
-import java.net.StandardSocketOptions;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayDeque;
@@ -34,6 +31,7 @@
 import quotagateway.testing.EndpointListJson;
 import quotagateway.testing.GatewayFixture;
 import quotagateway.testing.HttpMessage;
+import quotagateway.testing.PortReservation;
 import quotagateway.testing.TestClient;
 import quotagateway.testing.TestQueues;
 import quotagateway.testing.TestRequests;
@@ -55,7 +53,7 @@
   private static final long MAX_BACKLOG_NANOS = TimeUnit.SECONDS.toNanos(20);
 
   private final GatewayFixture fixture = new GatewayFixture();
-  private final Socket portReservation = new Socket();
+  private PortReservation portReservation;
   private final AtomicBoolean peersUnavailable = new AtomicBoolean();
   private final AtomicInteger counterConnections = new AtomicInteger();
   private InetSocketAddress gatewayAddress;
@@ -63,16 +61,10 @@
 
   @TempDir Path tempFolder;
 
-  /**
-   * Reserves a port for the gateway process. The socket is bound but does not listen; the process
-   * binds the same port with SO_REUSEPORT.
-   */
   @BeforeEach
   void reservePort() throws IOException {
-    portReservation.setOption(StandardSocketOptions.SO_REUSEPORT, true);
-    portReservation.setReuseAddress(true);
-    portReservation.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
-    gatewayAddress = (InetSocketAddress) portReservation.getLocalSocketAddress();
+    portReservation = new PortReservation();
+    gatewayAddress = portReservation.address();
   }
 
   @AfterEach
--- a/src/test/java/quotagateway/soak/SoakGateway.java
+++ b/src/test/java/quotagateway/soak/SoakGateway.java
@@ -3,9 +3,7 @@
 import java.io.Closeable;
 import java.io.IOException;
 import java.io.UncheckedIOException;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -14,6 +12,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import quotagateway.testing.GatewayProcess;
+import quotagateway.testing.PortReservation;
 import quotagateway.testing.TestClient;
 
 /**
@@ -72,6 +71,7 @@
   private final int counterPort;
   private final Path folder;
   private final InetSocketAddress listen;
+  private final List<PortReservation> portReservations = new ArrayList<>();
   private final List<String> faults = new CopyOnWriteArrayList<>();
 
   /** Spans in which the gateway may close connections unanswered as it drains or shuts down. */
@@ -81,7 +81,7 @@
   private final List<Span> killSpans = new CopyOnWriteArrayList<>();
 
   private GatewayProcess process;
-  private int adminPort;
+  private InetSocketAddress admin;
   private int reloads;
   private int descriptorsWhenReady;
   private volatile boolean acceptsConnections;
@@ -104,14 +104,15 @@
     this.discovery = discovery;
     this.counterPort = counterPort;
     folder = Files.createTempDirectory("soak-gateway");
-    listen = new InetSocketAddress(InetAddress.getLoopbackAddress(), findFreePort());
+    listen = reservePort();
     Files.writeString(configFile(), formatConfig());
   }
 
-  private static int findFreePort() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return socket.getLocalPort();
-    }
+  /** Reserves a port until this gateway is closed. */
+  private InetSocketAddress reservePort() throws IOException {
+    PortReservation reservation = new PortReservation();
+    portReservations.add(reservation);
+    return reservation.address();
   }
 
   /** Returns the address that clients connect to. Thread-safe. */
@@ -193,14 +194,14 @@
 
   private GatewayProcess launch() throws IOException {
     Files.writeString(configFile(), formatConfig());
-    adminPort = findFreePort();
+    admin = reservePort();
     return new GatewayProcess(
         launcher.command(folder),
         Map.of(
             "GW_CONFIG",
             configFile().toString(),
             "GW_MGMT",
-            "127.0.0.1:" + adminPort,
+            "127.0.0.1:" + admin.getPort(),
             "TMPDIR",
             folder.toString()),
         folder.resolve("log"));
@@ -235,8 +236,7 @@
 
   /** Makes an operator's call and returns the response status, or 0 if there is no response. */
   int callOperator(String call) {
-    try (TestClient caller =
-        new TestClient(new InetSocketAddress(InetAddress.getLoopbackAddress(), adminPort))) {
+    try (TestClient caller = new TestClient(admin)) {
       return caller.exchange(call + " HTTP/1.1\r\nHost: x\r\n\r\n").status();
     } catch (IOException e) {
       return 0;
@@ -366,6 +366,9 @@
     if (process != null) {
       process.close();
     }
+    for (PortReservation reservation : portReservations) {
+      reservation.close();
+    }
     List<Path> files = new ArrayList<>();
     try (var listed = Files.list(folder)) {
       listed.forEach(files::add);
