No stack trace from the shutdown hook after a failed start

A gateway that could not listen wrote the exception of its shutdown hook, whose event loop had terminated, behind the line that names the reason; the reports of the soak showed only that trace. The shutdown does nothing after a stop.

--- a/src/main/java/quotagateway/server/GatewayServer.java
+++ b/src/main/java/quotagateway/server/GatewayServer.java
@@ -160,8 +160,14 @@
     configReload.reload(file);
   }
 
-  /** Shuts down without losing an accepted request, and returns when the shutdown is complete. */
+  /**
+   * Shuts down without losing an accepted request, and returns when the shutdown is complete. Does
+   * nothing if the gateway has stopped already, as after a start that failed.
+   */
   public void shutDownGracefully() {
+    if (eventLoop.isShuttingDown()) {
+      return;
+    }
     new GracefulShutdown(eventLoop, lifecycle, components, servingProcesses)
         .run(configReload.inUse().settings());
     stop();
