Failing test: lingering connections leave new clients unanswered

Cause: a peer that has got its error lingers for 0.3 s and more and counts in full, so each new client is one too many and closed unread.

--- /dev/null
+++ b/src/test/java/quotagateway/server/LingeringConnectionsTest.java
@@ -0,0 +1,46 @@
+package quotagateway.server;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import quotagateway.config.ResourceLimits;
+import quotagateway.testing.GatewayFixture;
+import quotagateway.testing.TestClient;
+import quotagateway.testing.TestRequests;
+import quotagateway.transport.ConnectionBudget;
+
+/** Tests that answered connections which linger give way to new clients. */
+@Timeout(40)
+class LingeringConnectionsTest {
+
+  private static final int MAX_CLIENT_CONNECTIONS =
+      new ConnectionBudget(
+              ResourceLimits.of(GatewayFixture.FEW_DESCRIPTORS, 128, 1).maxConnections())
+          .maxClientConnections();
+
+  /** Longer than clients take to read an error, and shorter than connections linger. */
+  private static final long SILENCE_MS = 100;
+
+  private static final String INVALID_REQUEST = "GET / HTTP/1.1\r\nHost x\r\n\r\n";
+
+  private final GatewayFixture fixture = new GatewayFixture();
+
+  @AfterEach
+  void close() throws Exception {
+    fixture.close();
+  }
+
+  @Test
+  void lingeringConnectionsDoNotLeaveNewClientsUnanswered() throws Exception {
+    GatewayServer gateway = fixture.start(fixture.smallConfig());
+    for (int i = 0; i < 2 * MAX_CLIENT_CONNECTIONS; i++) {
+      fixture.client().send(INVALID_REQUEST);
+    }
+    gateway.eventLoop.schedule(() -> {}, SILENCE_MS, TimeUnit.MILLISECONDS).sync();
+    TestClient client = fixture.client();
+    assertEquals(503, client.exchange(TestRequests.get("r1", 3000)).status());
+  }
+}
