Close a silent lingering connection for a new client

Sound clients beside peers that halt in their bodies were closed unread, because the peers that had got their error still held their places while they lingered. Now the lingering connection whose client has been silent longest, and for at least 50 ms, is closed for a new client, which gets its response, at worst a 503. Its own response has gone to the socket, and a client that is still sending is not chosen, as it would be reset.

--- a/src/main/java/quotagateway/client/ClientConnections.java
+++ b/src/main/java/quotagateway/client/ClientConnections.java
@@ -1,7 +1,9 @@
 package quotagateway.client;
 
 import io.netty.channel.EventLoop;
+import java.util.Comparator;
 import java.util.LinkedHashSet;
+import java.util.Optional;
 import java.util.Set;
 import quotagateway.transport.ConnectionBudget;
 import quotagateway.transport.PeriodicTask;
@@ -51,14 +53,27 @@
     connections.add(connection);
     budget.addClientConnections(1);
     context.backends().closeIdleOverBudget();
-    int max = budget.maxClientConnections();
-    if (budget.clientConnections() > max) {
+    if (isOverBudget()) {
       evictLongestIdle();
     }
-    if (budget.clientConnections() > max + max / EXCESS_DIVISOR) {
+    boolean closed = true;
+    while (closed && isExcessUsedUp()) {
+      closed = closeLongestSilentLinger();
+    }
+    if (isExcessUsedUp()) {
       connection.closer().closeIfIdle(CloseReason.MAKE_ROOM);
     }
-    return budget.clientConnections() > max;
+    return isOverBudget();
+  }
+
+  private boolean isOverBudget() {
+    return budget.clientConnections() > budget.maxClientConnections();
+  }
+
+  /** Returns whether even the connections that are to be rejected are too many. */
+  private boolean isExcessUsedUp() {
+    int max = budget.maxClientConnections();
+    return budget.clientConnections() > max + max / EXCESS_DIVISOR;
   }
 
   void onClosed(ClientConnection connection) {
@@ -100,6 +115,25 @@
     }
   }
 
+  /**
+   * Closes the lingering connection whose client has been silent longest. Its response has been
+   * sent, and its place lets a new client have one as well.
+   *
+   * @return false if there is none that may be closed
+   */
+  private boolean closeLongestSilentLinger() {
+    Optional<ClientConnection> longestSilent =
+        connections.stream()
+            .filter(candidate -> candidate.closer().mayEndLinger())
+            .min(Comparator.comparingDouble(c -> c.closer().silentLingerSinceMs()));
+    longestSilent.ifPresent(
+        lingering -> {
+          lingering.closer().endLinger();
+          onClosed(lingering);
+        });
+    return longestSilent.isPresent();
+  }
+
   /** Called for each read, as what clients send may exhaust the heap. */
   void onBytesReceived() {
     overload.checkHeap();
--- a/src/main/java/quotagateway/client/ConnectionCloser.java
+++ b/src/main/java/quotagateway/client/ConnectionCloser.java
@@ -30,6 +30,12 @@
   /** Maximum time for which an unwanted body is read. */
   private static final double MAX_LINGER_MS = 10_000;
 
+  /**
+   * Time without a byte from the client after which a lingering connection may be closed in favor
+   * of a new client. A client that is still sending would be reset, and could lose its response.
+   */
+  private static final double MIN_SILENT_LINGER_MS = 50;
+
   /** A linger limit that has already passed at the first check. */
   private static final double CLOSE_AT_FIRST_CHECK = 0;
 
@@ -59,6 +65,9 @@
   private final PendingRequests requests;
   private boolean closing;
 
+  /** When the connection began to linger; infinite if it does not linger. */
+  private double lingeringSinceMs = Double.POSITIVE_INFINITY;
+
   ConnectionCloser(
       Channel channel,
       ClientContext context,
@@ -230,10 +239,26 @@
           if (channel instanceof DuplexChannel socket) {
             socket.shutdownOutput();
           }
+          lingeringSinceMs = context.now();
           scheduleLingerCheck(lingerUntilMs);
         });
   }
 
+  /** Returns since when the connection has lingered without a byte from the client, or infinity. */
+  double silentLingerSinceMs() {
+    return Math.max(lingeringSinceMs, assembler.lastReadAtMs());
+  }
+
+  /** Returns whether the connection lingers and may be closed in favor of a new client. */
+  boolean mayEndLinger() {
+    return context.now() - silentLingerSinceMs() >= MIN_SILENT_LINGER_MS;
+  }
+
+  /** Closes a lingering connection, whose close has been logged. */
+  void endLinger() {
+    channel.close();
+  }
+
   private void scheduleLingerCheck(double lingerUntilMs) {
     channel
         .eventLoop()
--- a/src/main/java/quotagateway/client/RequestAssembler.java
+++ b/src/main/java/quotagateway/client/RequestAssembler.java
@@ -76,7 +76,7 @@
   /** When the request that is being received began, or NaN. */
   private double receivingSinceMs = Double.NaN;
 
-  private double lastReadAtMs;
+  private double lastReadAtMs = Double.NEGATIVE_INFINITY;
 
   /** The request whose head has been received and whose body is incomplete, or null. */
   private InboundRequest incompleteRequest;
@@ -107,7 +107,7 @@
     return !Double.isNaN(receivingSinceMs);
   }
 
-  /** Returns when bytes were last received. */
+  /** Returns when bytes were last received; negative infinity if none were. */
   double lastReadAtMs() {
     return lastReadAtMs;
   }
