Let new clients wait for the place of a lingering connection

Now accepting pauses while all places are taken and a lingering connection may be closed within that time; new connections wait in the kernel's queue. Without a lingering connection nothing pauses, so that clients are not held up where no place is about to become free.

--- a/src/main/java/quotagateway/client/ClientConnections.java
+++ b/src/main/java/quotagateway/client/ClientConnections.java
@@ -28,12 +28,18 @@
 
   private final ClientContext context;
   private final ConnectionBudget budget;
+  private final AcceptThrottle acceptThrottle;
   private final OverloadManager overload;
 
   /** Ordered by the time of opening. */
   private final Set<ClientConnection> connections = new LinkedHashSet<>();
 
-  ClientConnections(EventLoop loop, ClientContext context, ConnectionBudget budget) {
+  ClientConnections(
+      EventLoop loop,
+      ClientContext context,
+      ConnectionBudget budget,
+      AcceptThrottle acceptThrottle) {
+    this.acceptThrottle = acceptThrottle;
     this.context = context;
     this.budget = budget;
     overload = new OverloadManager(context, connections);
@@ -56,13 +62,11 @@
     if (isOverBudget()) {
       evictLongestIdle();
     }
-    boolean closed = true;
-    while (closed && isExcessUsedUp()) {
-      closed = closeLongestSilentLinger();
-    }
-    if (isExcessUsedUp()) {
+    makeRoom(0);
+    if (!hasRoom(0)) {
       connection.closer().closeIfIdle(CloseReason.MAKE_ROOM);
     }
+    pauseAcceptingIfFull();
     return isOverBudget();
   }
 
@@ -70,15 +74,49 @@
     return budget.clientConnections() > budget.maxClientConnections();
   }
 
-  /** Returns whether even the connections that are to be rejected are too many. */
-  private boolean isExcessUsedUp() {
+  /** Returns whether the budget and its excess allow more connections than there are now. */
+  private boolean hasRoom(int additional) {
     int max = budget.maxClientConnections();
-    return budget.clientConnections() > max + max / EXCESS_DIVISOR;
+    return budget.clientConnections() + additional <= max + max / EXCESS_DIVISOR;
+  }
+
+  private void makeRoom(int additional) {
+    boolean closed = true;
+    while (closed && !hasRoom(additional)) {
+      closed = closeLongestSilentLinger();
+    }
+  }
+
+  /**
+   * Leaves the next clients in the kernel's queue for the short time after which a lingering
+   * connection may be closed for them. Without this, they would be closed unread.
+   */
+  private void pauseAcceptingIfFull() {
+    if (hasRoom(1)) {
+      return;
+    }
+    double nextEndMs =
+        connections.stream()
+            .mapToDouble(connection -> connection.closer().lingerMayEndAtMs())
+            .min()
+            .orElse(Double.POSITIVE_INFINITY);
+    if (nextEndMs < Double.POSITIVE_INFINITY) {
+      long pauseMs = (long) Math.ceil(Math.max(0, nextEndMs - context.now()));
+      acceptThrottle.pause(pauseMs, this::resumeAccepting);
+    }
+  }
+
+  private void resumeAccepting() {
+    makeRoom(1);
+    acceptThrottle.resume();
   }
 
   void onClosed(ClientConnection connection) {
     if (connections.remove(connection)) {
       budget.addClientConnections(-1);
+      if (acceptThrottle.isPaused() && hasRoom(1)) {
+        acceptThrottle.resume();
+      }
     }
   }
 
@@ -122,10 +160,11 @@
    * @return false if there is none that may be closed
    */
   private boolean closeLongestSilentLinger() {
+    double now = context.now();
     Optional<ClientConnection> longestSilent =
         connections.stream()
-            .filter(candidate -> candidate.closer().mayEndLinger())
-            .min(Comparator.comparingDouble(c -> c.closer().silentLingerSinceMs()));
+            .filter(candidate -> candidate.closer().lingerMayEndAtMs() <= now)
+            .min(Comparator.comparingDouble(candidate -> candidate.closer().lingerMayEndAtMs()));
     longestSilent.ifPresent(
         lingering -> {
           lingering.closer().endLinger();
--- a/src/main/java/quotagateway/client/ClientServer.java
+++ b/src/main/java/quotagateway/client/ClientServer.java
@@ -37,6 +37,7 @@
   private static final int MAX_ACCEPT_BACKLOG = 512;
 
   private final ClientContext context;
+  private final AcceptThrottle acceptThrottle = new AcceptThrottle();
   private final ClientConnections connections;
   private volatile Channel serverChannel;
 
@@ -60,7 +61,7 @@
       HeapWatch heapWatch,
       Lifecycle lifecycle) {
     context = new ClientContext(clock, driver, backends, reader, memory, heapWatch, lifecycle);
-    connections = new ClientConnections(loop, context, budget);
+    connections = new ClientConnections(loop, context, budget, acceptThrottle);
   }
 
   /** Starts to accept connections at the address; the future reports whether it could be bound. */
@@ -84,6 +85,7 @@
                 })
             .bind(address);
     serverChannel = bound.channel();
+    acceptThrottle.attach(serverChannel);
     return bound;
   }
 
--- a/src/main/java/quotagateway/client/ConnectionCloser.java
+++ b/src/main/java/quotagateway/client/ConnectionCloser.java
@@ -244,14 +244,12 @@
         });
   }
 
-  /** Returns since when the connection has lingered without a byte from the client, or infinity. */
-  double silentLingerSinceMs() {
-    return Math.max(lingeringSinceMs, assembler.lastReadAtMs());
-  }
-
-  /** Returns whether the connection lingers and may be closed in favor of a new client. */
-  boolean mayEndLinger() {
-    return context.now() - silentLingerSinceMs() >= MIN_SILENT_LINGER_MS;
+  /**
+   * Returns from when on the connection may be closed in favor of a new client, because it lingers
+   * and its client is silent; infinity if it does not linger.
+   */
+  double lingerMayEndAtMs() {
+    return Math.max(lingeringSinceMs, assembler.lastReadAtMs()) + MIN_SILENT_LINGER_MS;
   }
 
   /** Closes a lingering connection, whose close has been logged. */
