--- a/src/test/java/quotagateway/server/IdleBackendConnectionsTest.java
+++ b/src/test/java/quotagateway/server/IdleBackendConnectionsTest.java
@@ -9,24 +9,17 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import quotagateway.config.ResourceLimits;
 import quotagateway.testing.FakeBackend;
 import quotagateway.testing.GatewayFixture;
 import quotagateway.testing.TestClient;
 import quotagateway.testing.TestLatches;
 import quotagateway.testing.TestRequests;
 import quotagateway.testing.TextStreams;
-import quotagateway.transport.ConnectionBudget;
 
 /** Tests that connections to backends give way to clients while they are idle. */
 @Timeout(40)
 class IdleBackendConnectionsTest {
 
-  private static final int MAX_CLIENT_CONNECTIONS =
-      new ConnectionBudget(
-              ResourceLimits.of(GatewayFixture.FEW_DESCRIPTORS, 128, 1).maxConnections())
-          .maxClientConnections();
-
   private final GatewayFixture fixture = new GatewayFixture();
 
   @AfterEach
@@ -37,9 +30,9 @@
   @Test
   void idleBackendConnectionsDoNotLockOutNewClients() throws Exception {
     fixture.start(fixture.smallConfig());
-    openIdleBackendConnections(MAX_CLIENT_CONNECTIONS / 2);
+    openIdleBackendConnections(GatewayFixture.FEW_CLIENT_CONNECTIONS / 2);
     List<TestClient> clients = new ArrayList<>();
-    for (int i = 0; i < MAX_CLIENT_CONNECTIONS; i++) {
+    for (int i = 0; i < GatewayFixture.FEW_CLIENT_CONNECTIONS; i++) {
       clients.add(fixture.client());
     }
     for (TestClient client : clients) {
--- a/src/test/java/quotagateway/server/LingeringConnectionsTest.java
+++ b/src/test/java/quotagateway/server/LingeringConnectionsTest.java
@@ -7,20 +7,13 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import quotagateway.config.ResourceLimits;
 import quotagateway.testing.GatewayFixture;
 import quotagateway.testing.TestRequests;
-import quotagateway.transport.ConnectionBudget;
 
 /** Tests that answered connections which linger give way to new clients. */
 @Timeout(40)
 class LingeringConnectionsTest {
 
-  private static final int MAX_CLIENT_CONNECTIONS =
-      new ConnectionBudget(
-              ResourceLimits.of(GatewayFixture.FEW_DESCRIPTORS, 128, 1).maxConnections())
-          .maxClientConnections();
-
   /** Longer than clients take to read an error, and shorter than connections linger. */
   private static final long SILENCE_MS = 100;
 
@@ -51,7 +44,7 @@
   }
 
   private void openLingeringConnections() throws IOException {
-    for (int i = 0; i < 2 * MAX_CLIENT_CONNECTIONS; i++) {
+    for (int i = 0; i < 2 * GatewayFixture.FEW_CLIENT_CONNECTIONS; i++) {
       fixture.client().send(INVALID_REQUEST);
     }
   }
--- a/src/test/java/quotagateway/server/MisbehavingClientTest.java
+++ b/src/test/java/quotagateway/server/MisbehavingClientTest.java
@@ -16,7 +16,6 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
-import quotagateway.config.ResourceLimits;
 import quotagateway.testing.FakeBackend;
 import quotagateway.testing.GatewayFixture;
 import quotagateway.testing.HttpMessage;
@@ -33,11 +32,6 @@
   /** Misbehaving clients must receive an error or a close within this time. */
   private static final long MAX_RESPONSE_NANOS = TimeUnit.SECONDS.toNanos(3);
 
-  private static final int MAX_CLIENT_CONNECTIONS =
-      new ConnectionBudget(
-              ResourceLimits.of(GatewayFixture.FEW_DESCRIPTORS, 128, 1).maxConnections())
-          .maxClientConnections();
-
   private final GatewayFixture fixture = new GatewayFixture();
 
   @AfterEach
@@ -60,7 +54,7 @@
     do {
       // Repeats if the machine stalled: connections with an incomplete request may be closed on
       // timeout.
-      for (int i = 1; i < MAX_CLIENT_CONNECTIONS; i++) {
+      for (int i = 1; i < GatewayFixture.FEW_CLIENT_CONNECTIONS; i++) {
         fixture.client().send(request.substring(0, 20));
       }
       accepted = fixture.client();
@@ -81,7 +75,7 @@
     fixture.start(fixture.smallConfig());
     assertNull(fixture.client().exchange(TestRequests.get("first", 3000)).header("Connection"));
     HttpMessage response = null;
-    for (int i = 0; i < 2 * MAX_CLIENT_CONNECTIONS; i++) {
+    for (int i = 0; i < 2 * GatewayFixture.FEW_CLIENT_CONNECTIONS; i++) {
       response = fixture.client().exchange(TestRequests.get("r" + i, 3000));
       assertEquals(200, response.status());
     }
@@ -98,7 +92,7 @@
     String partialRequest = TestRequests.get("half", 3000).substring(0, 20);
     TestClient slow = fixture.client();
     slow.send(partialRequest);
-    for (int i = 1; i < MAX_CLIENT_CONNECTIONS; i++) {
+    for (int i = 1; i < GatewayFixture.FEW_CLIENT_CONNECTIONS; i++) {
       fixture.client().send(partialRequest);
     }
     TimeUnit.MILLISECONDS.sleep(500);
@@ -115,7 +109,7 @@
   @Test
   void silentConnectionIsEvictedAtTheConnectionLimit() throws Exception {
     fixture.start(fixture.smallConfig());
-    for (int i = 0; i < MAX_CLIENT_CONNECTIONS; i++) {
+    for (int i = 0; i < GatewayFixture.FEW_CLIENT_CONNECTIONS; i++) {
       fixture.client();
     }
     TimeUnit.MILLISECONDS.sleep(500);
--- a/src/test/java/quotagateway/testing/GatewayFixture.java
+++ b/src/test/java/quotagateway/testing/GatewayFixture.java
@@ -14,7 +14,9 @@
 import quotagateway.config.GatewayConfig;
 import quotagateway.config.InvalidConfigurationException;
 import quotagateway.config.JsonFields;
+import quotagateway.config.ResourceLimits;
 import quotagateway.server.GatewayServer;
+import quotagateway.transport.ConnectionBudget;
 
 /**
  * A gateway on loopback with fakes of its peers: a backend, the counter, discovery, clients and
@@ -26,6 +28,13 @@
   /** The descriptor limit of {@link #smallConfig}, which allows only a few connections. */
   public static final int FEW_DESCRIPTORS = 160;
 
+  private static final int FEW_MEGABYTES = 128;
+
+  /** The limit of client connections of {@link #smallConfig} while no backend is asked. */
+  public static final int FEW_CLIENT_CONNECTIONS =
+      new ConnectionBudget(ResourceLimits.of(FEW_DESCRIPTORS, FEW_MEGABYTES, 1).maxConnections())
+          .maxClientConnections();
+
   public final FakeBackend backend = new FakeBackend();
   public final FakeCounter counter = new FakeCounter();
   public final FakeDiscovery discovery = new FakeDiscovery();
@@ -82,7 +91,9 @@
     return singleBackendConfig()
         .replace(
             "\"seed\"",
-            "\"limits\":{\"cores\":1,\"memory_mb\":128,\"sockets\":"
+            "\"limits\":{\"cores\":1,\"memory_mb\":"
+                + FEW_MEGABYTES
+                + ",\"sockets\":"
                 + FEW_DESCRIPTORS
                 + "},\"seed\"");
   }
