Accept again 10 ms after a failed accept, not a second

A single accept that fails, as with ECONNABORTED or ENFILE, had Netty's server channel accept nothing for a whole second: clients that had nothing to do with it waited over a second, or past their deadline. It is of the class of a fixed wait that asks nothing of what is left of a request's time.

Now the listening sockets of clients and operators have a handler that pauses accepting for 10 ms after a failure and logs it (accept_failed), bounded like the other events.

AcceptThrottleTest tests the pauses on a frozen clock.

--- a/src/main/java/quotagateway/admin/AdminServer.java
+++ b/src/main/java/quotagateway/admin/AdminServer.java
@@ -33,6 +33,7 @@
 import quotagateway.client.RequestReader;
 import quotagateway.config.ResourceLimits;
 import quotagateway.lifecycle.Lifecycle;
+import quotagateway.transport.AcceptThrottle;
 import quotagateway.transport.SocketTransport;
 
 /**
@@ -83,6 +84,7 @@
             .group(group)
             .channel(SocketTransport.PREFERRED.serverSocket())
             .option(ChannelOption.SO_REUSEADDR, true)
+            .handler(new AcceptThrottle())
             .childHandler(
                 new ChannelInitializer<Channel>() {
                   @Override
--- a/src/main/java/quotagateway/client/ClientConnections.java
+++ b/src/main/java/quotagateway/client/ClientConnections.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashSet;
 import java.util.Optional;
 import java.util.Set;
+import quotagateway.transport.AcceptThrottle;
 import quotagateway.transport.ConnectionBudget;
 import quotagateway.transport.PeriodicTask;
 
--- a/src/main/java/quotagateway/client/ClientServer.java
+++ b/src/main/java/quotagateway/client/ClientServer.java
@@ -15,6 +15,7 @@
 import quotagateway.backend.BackendConnectionPool;
 import quotagateway.driver.PolicyDriver;
 import quotagateway.lifecycle.Lifecycle;
+import quotagateway.transport.AcceptThrottle;
 import quotagateway.transport.ConnectionBudget;
 import quotagateway.transport.HeapWatch;
 import quotagateway.transport.KernelSockets;
@@ -76,6 +77,7 @@
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childOption(ChannelOption.SO_SNDBUF, SocketTransport.SEND_BUFFER_BYTES)
             .childOption(ChannelOption.RECVBUF_ALLOCATOR, SocketTransport.boundedReads())
+            .handler(acceptThrottle)
             .childHandler(
                 new ChannelInitializer<Channel>() {
                   @Override
@@ -85,7 +87,6 @@
                 })
             .bind(address);
     serverChannel = bound.channel();
-    acceptThrottle.attach(serverChannel);
     return bound;
   }
 
--- a/src/main/java/quotagateway/transport/LogEvent.java
+++ b/src/main/java/quotagateway/transport/LogEvent.java
@@ -2,14 +2,18 @@
 
 import java.util.Locale;
 
-/** What happened to a request, an attempt or a connection; its lower-case name is in the log. */
+/**
+ * What happened to a request, an attempt, a connection or a listening socket; its lower-case name
+ * is in the log.
+ */
 public enum LogEvent {
   ATTEMPT_ENDED,
   ATTEMPT_RETRIED,
   REQUEST_REJECTED,
   REQUEST_FAILED,
   CLIENT_DISCONNECTED,
-  CONNECTION_CLOSED;
+  CONNECTION_CLOSED,
+  ACCEPT_FAILED;
 
   private final String text = name().toLowerCase(Locale.ROOT);
 
