Do not take a failed call of this machine for a backend that restarted

connect may fail for a moment on this machine: no port (EADDRNOTAVAIL), no buffer (ENOBUFS), no route (ENETUNREACH). Each such failure counted as a refused connection: its backend was taken for restarted, its calls were cut to the slow start's budget, and it could be ejected.

Now only a refusal, a timeout and an unreachable host tell something of the backend. All else ends the attempt as not sent, as a socket that could not be opened did before, and the request goes on at once.

--- a/src/main/java/quotagateway/backend/BackendConnector.java
+++ b/src/main/java/quotagateway/backend/BackendConnector.java
@@ -1,11 +1,11 @@
 package quotagateway.backend;
 
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import quotagateway.policy.event.Status;
+import quotagateway.transport.ConnectFailure;
 import quotagateway.transport.ConnectionBudget;
 import quotagateway.transport.Dialer;
 import quotagateway.transport.MonotonicClock;
@@ -106,7 +106,8 @@
   }
 
   /**
-   * Returns the final status of an attempt whose connection could not be opened. A reset is not
+   * Returns the final status of an attempt whose connection could not be opened. A failure of this
+   * machine says nothing about the backend, which is not assumed to be at fault. A reset is not
    * reported as a failed connect, because it shows that a peer accepted the connection and dropped
    * it. Otherwise a live backend would be assumed to have restarted after a reset of any origin: a
    * full connection table, a middlebox, or a slow event loop that notices the connection only after
@@ -114,12 +115,10 @@
    * one more attempt before a refused connection or the endpoint list shows the restart.
    */
   private static Status statusOfFailedConnect(Throwable cause) {
-    if (cause instanceof ChannelException) {
-      // This gateway could not open a socket, which says nothing about the backend.
-      return Status.NOT_SENT;
-    }
-    return String.valueOf(cause.getMessage()).contains("reset")
-        ? Status.WRITE_INCOMPLETE
-        : Status.CONNECT_FAILED;
+    return switch (ConnectFailure.of(cause)) {
+      case LOCAL -> Status.NOT_SENT;
+      case UNREACHABLE -> Status.CONNECT_FAILED;
+      case RESET -> Status.WRITE_INCOMPLETE;
+    };
   }
 }
