Listen again if no socket can be opened at the start

One failed socket call at the start, as with ENFILE, cost the gateway its operators' address for as long as it ran, so that it never counted as ready; or, a little later, the process ended with status 1.

Now the start tries again every 20 ms, for up to 3 s, while no socket can be opened. An address that cannot be used is reported at once, as before. The failure of a bind was handled twice, in GatewayServer and AdminServer; it stands in ListeningSocket now.

--- a/src/main/java/quotagateway/admin/AdminServer.java
+++ b/src/main/java/quotagateway/admin/AdminServer.java
@@ -3,7 +3,6 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
@@ -34,6 +33,7 @@
 import quotagateway.config.ResourceLimits;
 import quotagateway.lifecycle.Lifecycle;
 import quotagateway.transport.AcceptThrottle;
+import quotagateway.transport.ListeningSocket;
 import quotagateway.transport.SocketTransport;
 
 /**
@@ -76,10 +76,10 @@
    * @throws IOException if the server cannot listen on the address
    */
   public AdminServer(InetSocketAddress address, Lifecycle lifecycle, BooleanSupplier ready)
-      throws IOException {
+      throws IOException, InterruptedException {
     this.lifecycle = lifecycle;
     this.ready = ready;
-    ChannelFuture bound =
+    ServerBootstrap bootstrap =
         new ServerBootstrap()
             .group(group)
             .channel(SocketTransport.PREFERRED.serverSocket())
@@ -91,17 +91,12 @@
                   protected void initChannel(Channel channel) {
                     accept(channel);
                   }
-                })
-            .bind(address)
-            .awaitUninterruptibly();
-    serverChannel = bound.channel();
-    if (!bound.isSuccess()) {
+                });
+    try {
+      serverChannel = ListeningSocket.open(address, () -> bootstrap.bind(address));
+    } catch (BindException | InterruptedException e) {
       close();
-      Throwable cause = bound.cause();
-      BindException failure =
-          new BindException("cannot listen on " + address + ": " + cause.getMessage());
-      failure.initCause(cause);
-      throw failure;
+      throw e;
     }
   }
 
--- a/src/main/java/quotagateway/server/GatewayServer.java
+++ b/src/main/java/quotagateway/server/GatewayServer.java
@@ -1,12 +1,10 @@
 package quotagateway.server;
 
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import java.io.IOException;
-import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.nio.file.Path;
@@ -16,6 +14,7 @@
 import quotagateway.client.ClientServer;
 import quotagateway.config.GatewayConfig;
 import quotagateway.lifecycle.Lifecycle;
+import quotagateway.transport.ListeningSocket;
 import quotagateway.transport.MonotonicClock;
 import quotagateway.transport.SocketTransport;
 
@@ -102,22 +101,14 @@
   }
 
   private void listen(InetSocketAddress address) throws IOException, InterruptedException {
-    ChannelFuture bound = components.clients().listen(group, address).await();
-    if (!bound.isSuccess()) {
-      Throwable cause = bound.cause();
-      BindException failure =
-          new BindException("cannot listen on " + address + ": " + cause.getMessage());
-      failure.initCause(cause);
-      throw failure;
-    }
-    listener = bound.channel();
+    listener = ListeningSocket.open(address, () -> components.clients().listen(group, address));
   }
 
   /**
    * Opens the admin server. A failure is logged and does not stop the gateway, which can serve
    * clients without it.
    */
-  private void openAdmin(GatewayConfig config) {
+  private void openAdmin(GatewayConfig config) throws InterruptedException {
     if (config.adminAddress() == null) {
       return;
     }
