Know a refused connect by its number, not by its text

The classes of failed connects told a refusal by the system's English text and took all else for a failure of this machine. In a process whose language translates it, a backend that is down would not have been ejected. Now the number that the native transport names decides, all that is unknown counts as unreachable, as before the classes, and a missing route is known by its exception. The test that took NoRouteToHostException for an unreachable host is replaced: the native transport reports a missing route and an unreachable host alike, without text.

--- a/src/main/java/quotagateway/transport/ConnectFailure.java
+++ b/src/main/java/quotagateway/transport/ConnectFailure.java
@@ -1,8 +1,12 @@
 package quotagateway.transport;
 
 import io.netty.channel.ChannelException;
-import io.netty.channel.ConnectTimeoutException;
+import java.net.BindException;
+import java.net.NoRouteToHostException;
 import java.util.Locale;
+import java.util.Set;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /** What a failed connect tells about the peer. */
 public enum ConnectFailure {
@@ -20,22 +24,46 @@
   RESET;
 
   /**
-   * Returns what the cause of a failed connect tells. The texts are those of the system's errors,
-   * as neither transport of Netty hands out the error's number.
+   * The native transport names the error's number, whose text depends on the process's language.
+   */
+  private static final Pattern ERROR_NUMBER = Pattern.compile("error\\(-(\\d+)\\)");
+
+  private static final int EAGAIN = 11;
+  private static final int ENOMEM = 12;
+  private static final int ENFILE = 23;
+  private static final int EMFILE = 24;
+  private static final int EADDRINUSE = 98;
+  private static final int EADDRNOTAVAIL = 99;
+  private static final int ENETDOWN = 100;
+  private static final int ECONNRESET = 104;
+  private static final int ENOBUFS = 105;
+
+  private static final Set<Integer> LOCAL_ERRORS =
+      Set.of(EAGAIN, ENOMEM, ENFILE, EMFILE, EADDRINUSE, EADDRNOTAVAIL, ENETDOWN, ENOBUFS);
+
+  /**
+   * Returns what the cause of a failed connect tells. A missing route counts as a failure of this
+   * machine, although the native transport reports an unreachable host alike. A host that has gone
+   * shows by timeouts.
    */
   public static ConnectFailure of(Throwable cause) {
-    if (cause instanceof ConnectTimeoutException) {
-      return UNREACHABLE;
-    }
-    if (cause instanceof ChannelException) {
+    if (cause instanceof ChannelException
+        || cause instanceof BindException
+        || cause instanceof NoRouteToHostException) {
       return LOCAL;
     }
-    String text = String.valueOf(cause.getMessage()).toLowerCase(Locale.ROOT);
-    if (text.contains("reset")) {
+    String text = String.valueOf(cause.getMessage());
+    Matcher number = ERROR_NUMBER.matcher(text);
+    if (number.find()) {
+      return ofErrorNumber(Integer.parseInt(number.group(1)));
+    }
+    return text.toLowerCase(Locale.ROOT).contains("reset") ? RESET : UNREACHABLE;
+  }
+
+  private static ConnectFailure ofErrorNumber(int number) {
+    if (number == ECONNRESET) {
       return RESET;
     }
-    boolean peerAtFault =
-        text.contains("refused") || text.contains("timed out") || text.contains("no route to host");
-    return peerAtFault ? UNREACHABLE : LOCAL;
+    return LOCAL_ERRORS.contains(number) ? LOCAL : UNREACHABLE;
   }
 }
